--- /dev/null
+++ b/test/edge/packet_codec_test.cpp
@@ -0,0 +1,88 @@
+/// \file
+/// The encoding of packets: what is written is read again, and what is damaged is
+/// refused.
+
+#include <kumquatpath/edge/packet_codec.hpp>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <vector>
+
+using namespace kumquatpath;
+
+namespace
+{
+
+packet_header sample_header()
+{
+    return {.kind = packet_kind::data,
+            .repeatable = true,
+            .service = {7},
+            .tenant = {8},
+            .traffic_class = {9},
+            .flow = {10},
+            .request = {11},
+            .deadline = std::chrono::microseconds(1200),
+            .return_path = {.address = 0x7f000001, .port = 4000}};
+}
+
+/// Returns the reason why \p datagram is refused, or nothing when it is read.
+std::optional<drop_reason> refusal_of(payload_view datagram)
+{
+    std::optional<drop_reason> refusal;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_CHECK(decode_packet(datagram));
+            return {};
+        },
+        [&](drop_reason reason) { refusal = reason; }, [] {});
+    return refusal;
+}
+
+} // namespace
+
+TEST_GROUP(packet_codec)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    std::vector<std::byte> datagram;
+
+    void setup() override
+    {
+        const std::vector<std::byte> payload(32, std::byte{5});
+        const auto bytes = encode_packet(builder, sample_header(), payload);
+        datagram.assign(bytes.begin(), bytes.end());
+    }
+};
+
+TEST(packet_codec, reads_back_what_it_wrote)
+{
+    const auto decoded = decode_packet(datagram);
+
+    CHECK_TRUE(decoded.has_value());
+    LONGS_EQUAL(11, decoded->header.request.value);
+    LONGS_EQUAL(1200, decoded->header.deadline.count());
+    LONGS_EQUAL(4000, decoded->header.return_path.port);
+    CHECK_TRUE(decoded->header.repeatable);
+    LONGS_EQUAL(32, decoded->payload.size());
+}
+
+TEST(packet_codec, refuses_every_truncation)
+{
+    for (std::size_t size = 0; size < datagram.size(); ++size)
+    {
+        const std::vector<std::byte> cut(datagram.begin(),
+                                         datagram.begin() + static_cast<long>(size));
+        CHECK_TRUE(refusal_of(cut) == drop_reason::malformed);
+    }
+}
+
+TEST(packet_codec, refuses_a_payload_over_the_bound)
+{
+    const std::vector<std::byte> payload(longest_payload + 1);
+    CHECK_TRUE(refusal_of(encode_packet(builder, sample_header(), payload)) ==
+               drop_reason::malformed);
+}
