Add the stand-ins for the platform, the fabric, the targets and the callers

Cause: the whole path needs something at each of its interfaces, so that it can run on one machine's loopback addresses.

Ruled out: a stand-in that answers several parts from one process, since cuts and deaths have to strike one of them at a time; and an upstream socket that all callers share, since an instance answers to the source of a packet.

Change: fake_platform (keys with compare-and-swap, leases, watches, the lagging list of instances, limits of rate, faults on request), fake_fabric (sprays over the live instances, with loss, copies, late packets and unreachable instances, set over HTTP), fake_target (3 slots of 2,000 connections, cold start, drain, shedding, deadlines, cancellation; it runs every copy that it is sent and counts those that ran twice) and fake_caller (flows of one or many requests, sent again until answered, with a JSON report). They share fakes/support.

Not covered: cuts between instances, whose messages don't pass the fabric.

--- /dev/null
+++ b/fakes/fake_caller.cpp
@@ -0,0 +1,83 @@
+/// \file
+/// The program of the stand-in caller.
+
+#include "caller.hpp"
+
+#include <boost/json/serialize.hpp>
+
+#include <support/settings.hpp>
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace kumquatpath::fakes
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+caller_options read_command_line(int argc, char** argv)
+{
+    using text = TCLAP::ValueArg<std::string>;
+    using number = TCLAP::ValueArg<std::uint32_t>;
+    TCLAP::CmdLine command("Stand-in for callers", ' ', "0.1");
+    text name("", "name", "Name in the report", false, "caller", "NAME", command);
+    text fabric("", "fabric", "Address that is called", true, "", "IP:PORT", command);
+    text listen("", "listen", "IP address to send from", false, "127.0.0.1", "IP",
+                command);
+    text service("", "service", "Service that is called", true, "", "NAME", command);
+    number traffic_class("", "class", "Class of the requests", true, 0, "ID", command);
+    number tenant("", "tenant", "Tenant", true, 0, "ID", command);
+    TCLAP::ValueArg<double> rate("", "rate", "New flows a second", true, 0, "N", command);
+    TCLAP::ValueArg<double> length("", "seconds", "How long flows are opened", true, 0,
+                                   "S", command);
+    TCLAP::SwitchArg repeatable("", "repeatable", "Requests may run twice", command);
+    number requests("", "flow-requests", "Requests of a flow", false, 1, "K", command);
+    number interval("", "request-interval-ms", "Pause between a flow's requests", false,
+                    100, "MS", command);
+    number fragments("", "fragments", "Fragments of an answer", false, 1, "F", command);
+    number bytes("", "bytes", "Bytes of a fragment", false, 200, "B", command);
+    number retry("", "retry-ms", "A request is sent again after", false, 100, "MS",
+                 command);
+    number deadline("", "deadline-ms", "A request is given up after", false, 2000, "MS",
+                    command);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of ids and times", false, 1,
+                                        "N", command);
+    command.parse(argc, argv);
+    endpoint local = required_endpoint(listen.getValue() + ":1");
+    local.port = 0;
+    return {.name = name.getValue(),
+            .fabric = required_endpoint(fabric.getValue()),
+            .listen = local,
+            .service = id_of<service_id>(service.getValue()),
+            .traffic_class = {static_cast<std::uint16_t>(traffic_class.getValue())},
+            .tenant = {static_cast<std::uint16_t>(tenant.getValue())},
+            .rate = rate.getValue(),
+            .length = std::chrono::duration<double>(length.getValue()),
+            .repeatable = repeatable.getValue(),
+            .flow_requests = requests.getValue(),
+            .request_interval = milliseconds(interval.getValue()),
+            .fragments = fragments.getValue(),
+            .bytes = bytes.getValue(),
+            .retry = milliseconds(retry.getValue()),
+            .deadline = milliseconds(deadline.getValue()),
+            .seed = seed.getValue()};
+}
+
+void run(const caller_options& options)
+{
+    boost::asio::io_context context;
+    caller held(context, options);
+    run_until_signal(context);
+    std::cout << boost::json::serialize(held.report()) << std::endl;
+}
+
+} // namespace
+} // namespace kumquatpath::fakes
+
+int main(int argc, char** argv)
+{
+    using namespace kumquatpath::fakes;
+    return run_program("fake_caller", [&] { run(read_command_line(argc, argv)); });
+}
--- /dev/null
+++ b/fakes/fake_platform.cpp
@@ -0,0 +1,59 @@
+/// \file
+/// The program of the stand-in platform.
+
+#include "platform.hpp"
+
+#include <support/settings.hpp>
+#include <tclap/CmdLine.h>
+
+namespace kumquatpath::fakes
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+platform_options read_command_line(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Stand-in for the platform's key-value service", ' ', "0.1");
+    TCLAP::ValueArg<std::string> listen("", "listen", "Address of the service", true, "",
+                                        "IP:PORT", command);
+    TCLAP::ValueArg<int> lag("", "list-lag-ms", "Lag of the list of instances", false, 0,
+                             "MS", command);
+    TCLAP::ValueArg<double> writes("", "writes-per-second", "Limit of writes", false, 400,
+                                   "N", command);
+    TCLAP::ValueArg<double> reads("", "reads-per-second", "Limit of reads", false, 2000,
+                                  "N", command);
+    command.parse(argc, argv);
+    return {.listen = required_endpoint(listen.getValue()),
+            .list_lag = milliseconds(lag.getValue()),
+            .writes_per_second = writes.getValue(),
+            .reads_per_second = reads.getValue()};
+}
+
+void run(const platform_options& options)
+{
+    const time_point now = present_time();
+    platform held{.options = options,
+                  .reads = {.rate = options.reads_per_second,
+                            .tokens = options.reads_per_second,
+                            .filled_at = now},
+                  .writes = {.rate = options.writes_per_second,
+                             .tokens = options.writes_per_second,
+                             .filled_at = now}};
+    boost::asio::io_context context;
+    boost::asio::steady_timer timer(context);
+    lapse_regularly(held, timer);
+    serve_http(context, options.listen,
+               [&held](const http_request& request) { return answer(held, request); });
+    run_until_signal(context);
+}
+
+} // namespace
+} // namespace kumquatpath::fakes
+
+int main(int argc, char** argv)
+{
+    using namespace kumquatpath::fakes;
+    return run_program("fake_platform", [&] { run(read_command_line(argc, argv)); });
+}
--- /dev/null
+++ b/fakes/fake_target.cpp
@@ -0,0 +1,103 @@
+/// \file
+/// The program of the stand-in target.
+
+#include "target_server.hpp"
+
+#include <boost/json/serialize.hpp>
+
+#include <support/http_server.hpp>
+#include <support/settings.hpp>
+#include <tclap/CmdLine.h>
+
+#include <iostream>
+
+namespace kumquatpath::fakes
+{
+namespace
+{
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// GET /report, /health and /load; PUT /drain and /undrain.
+boost::asio::awaitable<http_reply> answer_http(target_server& held,
+                                               const http_request& request)
+{
+    if (request.path == "/report")
+    {
+        co_return http_reply{.body = held.report()};
+    }
+    if (request.path == "/health")
+    {
+        co_return http_reply{
+            .body = {{"healthy", true}, {"draining", held.is_draining()}}};
+    }
+    if (request.path == "/load")
+    {
+        co_return http_reply{.body = {{"load", held.told_load()}}};
+    }
+    if (request.path == "/drain" || request.path == "/undrain")
+    {
+        held.draining_is(request.path == "/drain");
+        co_return http_reply{.body = boost::json::object()};
+    }
+    co_return http_reply{.status = 404};
+}
+
+target_options read_command_line(int argc, char** argv)
+{
+    TCLAP::CmdLine command("Stand-in for a target", ' ', "0.1");
+    TCLAP::ValueArg<std::string> listen("", "listen", "Address for packets", true, "",
+                                        "IP:PORT", command);
+    TCLAP::ValueArg<std::string> http("", "http", "Address for reports", true, "",
+                                      "IP:PORT", command);
+    TCLAP::ValueArg<std::string> name("", "name", "Name", true, "", "NAME", command);
+    TCLAP::ValueArg<std::string> service("", "service", "Service that it serves", true,
+                                         "", "NAME", command);
+    TCLAP::ValueArg<std::string> data_centre("", "data-centre", "Data centre", false, "",
+                                             "NAME", command);
+    TCLAP::ValueArg<int> service_time("", "service-us", "Mean time of a request", false,
+                                      500, "US", command);
+    TCLAP::ValueArg<int> cold("", "cold-ms", "Time of the slow start", false, 0, "MS",
+                              command);
+    TCLAP::ValueArg<int> lag("", "report-lag-ms", "Lag of /load", false, 0, "MS",
+                             command);
+    TCLAP::ValueArg<int> load("", "report-load", "A load to tell instead of the true one",
+                              false, -1, "N", command);
+    TCLAP::ValueArg<int> idle("", "flow-idle-ms", "Silent flows are forgotten after",
+                              false, 60000, "MS", command);
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the times", false, 1, "N",
+                                        command);
+    command.parse(argc, argv);
+    return {.listen = required_endpoint(listen.getValue()),
+            .http = required_endpoint(http.getValue()),
+            .name = name.getValue(),
+            .service = service.getValue(),
+            .data_centre = data_centre.getValue(),
+            .service_time = microseconds(service_time.getValue()),
+            .cold = milliseconds(cold.getValue()),
+            .report_lag = milliseconds(lag.getValue()),
+            .reported_load = load.getValue(),
+            .flow_idle = milliseconds(idle.getValue()),
+            .seed = seed.getValue()};
+}
+
+void run(const target_options& options)
+{
+    boost::asio::io_context context;
+    target_server held(context, options);
+    serve_http(context, options.http,
+               [&held](const http_request& request)
+               { return answer_http(held, request); });
+    run_until_signal(context);
+    std::cout << boost::json::serialize(held.report()) << std::endl;
+}
+
+} // namespace
+} // namespace kumquatpath::fakes
+
+int main(int argc, char** argv)
+{
+    using namespace kumquatpath::fakes;
+    return run_program("fake_target", [&] { run(read_command_line(argc, argv)); });
+}
--- /dev/null
+++ b/fakes/support/datagram_socket.cpp
@@ -0,0 +1,58 @@
+#include <boost/asio/buffer.hpp>
+
+#include <support/datagram_socket.hpp>
+
+namespace kumquatpath::fakes
+{
+namespace
+{
+
+using boost::asio::ip::udp;
+
+/// The size of a socket's buffers in bytes, so that a burst is not lost in the kernel.
+constexpr int socket_buffer_size = 4 << 20;
+
+endpoint plain_endpoint(const udp::endpoint& from)
+{
+    return {.address = from.address().to_v4().to_uint(), .port = from.port()};
+}
+
+} // namespace
+
+datagram_socket::datagram_socket(boost::asio::io_context& context,
+                                 const endpoint& address, handler on_datagram)
+    : socket_(context, asio_endpoint<udp>(address)), on_datagram_(std::move(on_datagram))
+{
+    socket_.non_blocking(true);
+    socket_.set_option(udp::socket::receive_buffer_size(socket_buffer_size));
+    socket_.set_option(udp::socket::send_buffer_size(socket_buffer_size));
+    receive();
+}
+
+void datagram_socket::send(payload_view datagram, const endpoint& destination)
+{
+    boost::system::error_code ignored;
+    socket_.send_to(boost::asio::buffer(datagram.data(), datagram.size()),
+                    asio_endpoint<udp>(destination), 0, ignored);
+}
+
+void datagram_socket::receive()
+{
+    socket_.async_receive_from(
+        boost::asio::buffer(buffer_), source_,
+        [this](const boost::system::error_code& error, std::size_t size)
+        {
+            if (error == boost::asio::error::operation_aborted)
+            {
+                // The socket is gone, and so may be everything else.
+                return;
+            }
+            if (!error)
+            {
+                on_datagram_({buffer_.data(), size}, plain_endpoint(source_));
+            }
+            receive();
+        });
+}
+
+} // namespace kumquatpath::fakes
--- /dev/null
+++ b/fakes/support/datagram_socket.hpp
@@ -0,0 +1,56 @@
+#ifndef KUMQUATPATH_FAKES_SUPPORT_DATAGRAM_SOCKET_HPP
+#define KUMQUATPATH_FAKES_SUPPORT_DATAGRAM_SOCKET_HPP
+
+/// \file
+/// A UDP socket that hands on what it receives, for the stand-ins.
+
+#include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/model/endpoint.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+
+namespace kumquatpath::fakes
+{
+
+/// Converts an endpoint to that of \p Protocol.
+template <class Protocol>
+typename Protocol::endpoint asio_endpoint(const endpoint& from)
+{
+    return {boost::asio::ip::address_v4(from.address), from.port};
+}
+
+/// A bound UDP socket that receives for as long as it lives. A datagram that the kernel
+/// refuses to send is lost, as on any network.
+class datagram_socket
+{
+public:
+    using handler = std::function<void(payload_view datagram, const endpoint& source)>;
+
+    /// Binds \p address and hands each datagram to \p on_datagram. Throws when it can't
+    /// bind.
+    datagram_socket(boost::asio::io_context& context, const endpoint& address,
+                    handler on_datagram);
+
+    /// Sends one datagram.
+    void send(payload_view datagram, const endpoint& destination);
+
+private:
+    void receive();
+
+    /// The longest datagram that the socket takes, in bytes; a longer one is cut.
+    static constexpr std::size_t longest = 4096;
+
+    boost::asio::ip::udp::socket socket_;
+    handler on_datagram_;
+    std::array<std::byte, longest> buffer_{};
+    boost::asio::ip::udp::endpoint source_;
+};
+
+} // namespace kumquatpath::fakes
+
+#endif
--- /dev/null
+++ b/fakes/support/http_server.cpp
@@ -0,0 +1,136 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <support/datagram_socket.hpp>
+#include <support/http_server.hpp>
+
+#include <memory>
+#include <sstream>
+
+namespace kumquatpath::fakes
+{
+namespace
+{
+
+namespace http = boost::beast::http;
+using boost::asio::awaitable;
+using boost::asio::ip::tcp;
+
+using shared_handler = std::shared_ptr<http_handler>;
+using raw_request = http::request<http::string_body>;
+using raw_response = http::response<http::string_body>;
+
+/// Longer bodies are refused by the reader; it leaves room for an escaped value of 1 MB.
+constexpr std::uint64_t longest_body = 8ULL << 20U;
+
+auto awaiting(boost::system::error_code& error)
+{
+    return boost::asio::redirect_error(boost::asio::use_awaitable, error);
+}
+
+http_request parsed(const raw_request& raw)
+{
+    const std::string target(raw.target());
+    const auto mark = target.find('?');
+    http_request request{
+        .method = raw.method(), .path = target.substr(0, mark), .body = raw.body()};
+    std::istringstream parameters(mark == std::string::npos ? ""
+                                                            : target.substr(mark + 1));
+    for (std::string item; std::getline(parameters, item, '&');)
+    {
+        const auto equals = item.find('=');
+        request.query[item.substr(0, equals)] =
+            equals == std::string::npos ? "" : item.substr(equals + 1);
+    }
+    return request;
+}
+
+awaitable<http_reply> answered(shared_handler handler, const http_request& request)
+{
+    try
+    {
+        co_return co_await (*handler)(request);
+    }
+    catch (const std::exception& fault)
+    {
+        co_return http_reply{.status = 400, .body = {{"error", fault.what()}}};
+    }
+}
+
+awaitable<void> serve_connection(tcp::socket socket, shared_handler handler)
+{
+    boost::beast::flat_buffer buffer;
+    boost::system::error_code error;
+    while (true)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(longest_body);
+        co_await http::async_read(socket, buffer, parser, awaiting(error));
+        if (error)
+        {
+            co_return;
+        }
+        const http_request request = parsed(parser.get());
+        const http_reply reply = co_await answered(handler, request);
+        if (reply.close_without_answer)
+        {
+            co_return;
+        }
+        raw_response response(static_cast<http::status>(reply.status),
+                              parser.get().version());
+        response.set(http::field::content_type, "application/json");
+        response.keep_alive(parser.get().keep_alive());
+        if (!reply.body.is_null())
+        {
+            response.body() = boost::json::serialize(reply.body);
+        }
+        response.prepare_payload();
+        co_await http::async_write(socket, response, awaiting(error));
+        if (error || !response.keep_alive())
+        {
+            co_return;
+        }
+    }
+}
+
+awaitable<void> accept_connections(tcp::acceptor acceptor, shared_handler handler)
+{
+    while (true)
+    {
+        boost::system::error_code error;
+        tcp::socket socket = co_await acceptor.async_accept(awaiting(error));
+        if (!error)
+        {
+            boost::asio::co_spawn(acceptor.get_executor(),
+                                  serve_connection(std::move(socket), handler),
+                                  boost::asio::detached);
+        }
+    }
+}
+
+} // namespace
+
+std::uint64_t http_request::number(const std::string& name, std::uint64_t otherwise) const
+{
+    const auto found = query.find(name);
+    return found == query.end() ? otherwise : std::stoull(found->second);
+}
+
+void serve_http(boost::asio::io_context& context, const endpoint& address,
+                http_handler handler)
+{
+    tcp::acceptor acceptor(context, asio_endpoint<tcp>(address));
+    boost::asio::co_spawn(
+        context,
+        accept_connections(std::move(acceptor),
+                           std::make_shared<http_handler>(std::move(handler))),
+        boost::asio::detached);
+}
+
+} // namespace kumquatpath::fakes
--- /dev/null
+++ b/fakes/support/packet_socket.hpp
@@ -0,0 +1,48 @@
+#ifndef KUMQUATPATH_FAKES_SUPPORT_PACKET_SOCKET_HPP
+#define KUMQUATPATH_FAKES_SUPPORT_PACKET_SOCKET_HPP
+
+/// \file
+/// A UDP socket that speaks packets, for the stand-ins.
+
+#include <kumquatpath/edge/packet_codec.hpp>
+#include <kumquatpath/model/endpoint.hpp>
+
+#include <support/datagram_socket.hpp>
+
+#include <functional>
+
+namespace kumquatpath::fakes
+{
+
+/// A bound UDP socket. Datagrams that aren't packets are counted and dropped.
+class packet_socket
+{
+public:
+    using handler = std::function<void(const decoded_packet&, const endpoint& source)>;
+
+    /// Binds \p address and hands each packet to \p on_packet. Throws when it can't bind.
+    packet_socket(boost::asio::io_context& context, const endpoint& address,
+                  handler on_packet);
+
+    /// Sends one packet to \p destination.
+    void send(const packet_header& header, payload_view payload,
+              const endpoint& destination);
+
+    /// Returns the count of datagrams that were not packets.
+    std::uint64_t malformed() const
+    {
+        return malformed_;
+    }
+
+private:
+    void take(payload_view datagram, const endpoint& source);
+
+    datagram_socket socket_;
+    handler on_packet_;
+    flatbuffers::FlatBufferBuilder builder_;
+    std::uint64_t malformed_ = 0;
+};
+
+} // namespace kumquatpath::fakes
+
+#endif
