Encode the messages between instances behind a keyed hash

Cause: instances must hear only their own fleet, and a damaged message must cost nothing. Ruled out: a hash inside the FlatBuffer (it would be parsed before it is trusted). Change: BLAKE2b keyed hash before each FlatBuffer; typed messages read and written whole.

--- a/include/kumquatpath/model/peer_message.hpp
+++ b/include/kumquatpath/model/peer_message.hpp
@@ -4,6 +4,7 @@
 /// \file
 /// The messages that instances send each other, free of any encoding.
 
+#include <kumquatpath/model/endpoint.hpp>
 #include <kumquatpath/model/ids.hpp>
 #include <kumquatpath/model/packet.hpp>
 #include <kumquatpath/model/time.hpp>
@@ -26,6 +27,8 @@
 {
     alive,
     leaving,
+    /// Not heard from for a while; dead unless it says otherwise soon.
+    suspect,
     dead,
 };
 
@@ -35,8 +38,9 @@
     instance_id instance;
     kumquatpath::incarnation incarnation;
     member_state state = member_state::alive;
-    /// The member's own count of its heartbeats; a larger one is newer.
-    std::uint64_t heartbeat = 0;
+    data_centre_id data_centre;
+    /// Where the member hears its peers.
+    endpoint address;
 };
 
 /// The new requests that one instance admitted of a class, for limits over the fleet.
--- /dev/null
+++ b/src/edge/peer_codec.cpp
@@ -0,0 +1,362 @@
+#include <kumquatpath/edge/peer_codec.hpp>
+
+#include <peer_generated.h>
+#include <sodium.h>
+
+#include <algorithm>
+#include <cstring>
+
+namespace kumquatpath
+{
+namespace
+{
+
+constexpr std::size_t hash_size = 16;
+using hash_bytes = std::array<unsigned char, hash_size>;
+
+hash_bytes keyed_hash(payload_view bytes, const peer_key& key)
+{
+    hash_bytes hash{};
+    crypto_generichash(hash.data(), hash.size(),
+                       reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+                       key.data(), key.size());
+    return hash;
+}
+
+bool is_authentic(payload_view message, const peer_key& key)
+{
+    const hash_bytes expected = keyed_hash(message.subspan(hash_size), key);
+    return sodium_memcmp(expected.data(), message.data(), hash_size) == 0;
+}
+
+wire::MemberDigest to_wire(const member_digest& each)
+{
+    return {each.incarnation.value, pack(each.address), each.instance.value,
+            each.data_centre.value, static_cast<std::uint8_t>(each.state)};
+}
+
+member_digest from_wire(const wire::MemberDigest& each)
+{
+    const auto worst = static_cast<std::uint8_t>(member_state::dead);
+    return {.instance = {each.instance()},
+            .incarnation = {each.incarnation()},
+            .state = static_cast<member_state>(std::min(each.state(), worst)),
+            .data_centre = {each.data_centre()},
+            .address = unpack_endpoint(each.address())};
+}
+
+wire::SubmissionKey to_wire(const submission_key& key)
+{
+    return {key.flow.value, key.request.value, key.service.value};
+}
+
+submission_key from_wire(const wire::SubmissionKey* key)
+{
+    if (key == nullptr)
+    {
+        return {};
+    }
+    return {
+        .service = {key->service()}, .flow = {key->flow()}, .request = {key->request()}};
+}
+
+claim_decision decision_from_wire(std::uint8_t decision)
+{
+    return decision == 0 ? claim_decision::run : claim_decision::refuse;
+}
+
+usage from_wire(const wire::Usage& each)
+{
+    return {.service = {each.service()},
+            .tenant = {each.tenant()},
+            .traffic_class = {each.traffic_class()},
+            .offered = each.offered(),
+            .admitted = each.admitted()};
+}
+
+flow_listing::entry from_wire(const wire::FlowEntry& each)
+{
+    return {.flow = {each.flow()}, .target = {each.target()}};
+}
+
+template <class Element, class List>
+std::vector<Element> all_from_wire(const List* list)
+{
+    std::vector<Element> elements;
+    if (list != nullptr)
+    {
+        elements.reserve(list->size());
+        for (const auto* each : *list)
+        {
+            elements.push_back(from_wire(*each));
+        }
+    }
+    return elements;
+}
+
+heartbeat from_wire(const wire::Heartbeat& body)
+{
+    return {.generation = {body.generation()},
+            .switched = {body.switched()},
+            .roster = {body.roster()},
+            .members = all_from_wire<member_digest>(body.members()),
+            .usages = all_from_wire<usage>(body.usages())};
+}
+
+flow_listing from_wire(const wire::FlowListing& body)
+{
+    return {.service = {body.service()},
+            .entries = all_from_wire<flow_listing::entry>(body.entries()),
+            .complete = body.complete(),
+            .group = body.group()};
+}
+
+claim from_wire(const wire::Claim& body)
+{
+    return {.key = from_wire(body.key()),
+            .coordinator = {body.coordinator()},
+            .decision = decision_from_wire(body.decision()),
+            .roster = {body.roster()},
+            .keep = std::chrono::milliseconds(body.keep_ms())};
+}
+
+claim_reply from_wire(const wire::ClaimReply& body)
+{
+    return {.key = from_wire(body.key()),
+            .valid = body.valid(),
+            .coordinator = {body.coordinator()},
+            .decision = decision_from_wire(body.decision()),
+            .roster = {body.roster()}};
+}
+
+passed_packet from_wire(const wire::Forwarded& body)
+{
+    if (body.packet() == nullptr)
+    {
+        return {};
+    }
+    return {std::as_bytes(std::span(body.packet()->data(), body.packet()->size()))};
+}
+
+configuration_reply from_wire(const wire::ConfigurationReply& body)
+{
+    return {.generation = {body.generation()},
+            .envelope = body.envelope() == nullptr ? "" : body.envelope()->str(),
+            .members = all_from_wire<member_digest>(body.members())};
+}
+
+boost::leaf::result<peer_body> body_of(const wire::PeerMessage& message)
+{
+    switch (message.body_type())
+    {
+    case wire::PeerBody::Heartbeat:
+        return peer_message(from_wire(*message.body_as_Heartbeat()));
+    case wire::PeerBody::FlowHint:
+    {
+        const auto& hint = *message.body_as_FlowHint();
+        return peer_message(flow_hint{.service = {hint.service()},
+                                      .flow = {hint.flow()},
+                                      .target = {hint.target()}});
+    }
+    case wire::PeerBody::FlowListing:
+        return peer_message(from_wire(*message.body_as_FlowListing()));
+    case wire::PeerBody::ListingRequest:
+    {
+        const auto& request = *message.body_as_ListingRequest();
+        return peer_message(
+            listing_request{.service = {request.service()}, .group = request.group()});
+    }
+    case wire::PeerBody::Claim:
+        return peer_message(from_wire(*message.body_as_Claim()));
+    case wire::PeerBody::ClaimReply:
+        return peer_message(from_wire(*message.body_as_ClaimReply()));
+    case wire::PeerBody::Forwarded:
+        return from_wire(*message.body_as_Forwarded());
+    case wire::PeerBody::ConfigurationRequest:
+        return configuration_request{
+            {message.body_as_ConfigurationRequest()->newer_than()}};
+    case wire::PeerBody::ConfigurationReply:
+        return from_wire(*message.body_as_ConfigurationReply());
+    default:
+        return boost::leaf::new_error(drop_reason::malformed);
+    }
+}
+
+/// Writes each kind of body, and tells which kind it wrote.
+struct body_writer
+{
+    using offset = flatbuffers::Offset<void>;
+
+    flatbuffers::FlatBufferBuilder& builder;
+    wire::PeerBody type = wire::PeerBody::NONE;
+
+    template <class Table>
+    offset written(wire::PeerBody kind, flatbuffers::Offset<Table> table)
+    {
+        type = kind;
+        return table.Union();
+    }
+
+    auto members(const std::vector<member_digest>& list)
+    {
+        return builder.CreateVectorOfStructs<wire::MemberDigest>(
+            list.size(),
+            [&](std::size_t i, wire::MemberDigest* slot) { *slot = to_wire(list[i]); });
+    }
+
+    offset operator()(const heartbeat& body)
+    {
+        const auto digests = members(body.members);
+        const auto usages = builder.CreateVectorOfStructs<wire::Usage>(
+            body.usages.size(),
+            [&](std::size_t i, wire::Usage* slot)
+            {
+                const usage& each = body.usages[i];
+                *slot =
+                    wire::Usage(each.service.value, each.tenant.value,
+                                each.traffic_class.value, each.offered, each.admitted);
+            });
+        return written(wire::PeerBody::Heartbeat,
+                       wire::CreateHeartbeat(builder, body.generation.value,
+                                             body.switched.value, body.roster.value,
+                                             digests, usages));
+    }
+
+    offset operator()(const flow_hint& body)
+    {
+        return written(wire::PeerBody::FlowHint,
+                       wire::CreateFlowHint(builder, body.service.value, body.flow.value,
+                                            body.target.value));
+    }
+
+    offset operator()(const flow_listing& body)
+    {
+        const auto entries = builder.CreateVectorOfStructs<wire::FlowEntry>(
+            body.entries.size(),
+            [&](std::size_t i, wire::FlowEntry* slot)
+            {
+                const flow_listing::entry& each = body.entries[i];
+                *slot = wire::FlowEntry(each.flow.value, each.target.value);
+            });
+        return written(wire::PeerBody::FlowListing,
+                       wire::CreateFlowListing(builder, body.service.value, entries,
+                                               body.complete, body.group));
+    }
+
+    offset operator()(const listing_request& body)
+    {
+        return written(
+            wire::PeerBody::ListingRequest,
+            wire::CreateListingRequest(builder, body.service.value, body.group));
+    }
+
+    offset operator()(const claim& body)
+    {
+        const wire::SubmissionKey key = to_wire(body.key);
+        return written(wire::PeerBody::Claim,
+                       wire::CreateClaim(builder, &key, body.coordinator.value,
+                                         static_cast<std::uint8_t>(body.decision),
+                                         body.roster.value,
+                                         static_cast<std::uint32_t>(body.keep.count())));
+    }
+
+    offset operator()(const claim_reply& body)
+    {
+        const wire::SubmissionKey key = to_wire(body.key);
+        return written(wire::PeerBody::ClaimReply,
+                       wire::CreateClaimReply(
+                           builder, &key, body.valid, body.coordinator.value,
+                           static_cast<std::uint8_t>(body.decision), body.roster.value));
+    }
+
+    offset operator()(const peer_message& body)
+    {
+        return std::visit(*this, body);
+    }
+
+    offset operator()(const passed_packet& body)
+    {
+        const auto bytes = builder.CreateVector(
+            reinterpret_cast<const std::uint8_t*>(body.datagram.data()),
+            body.datagram.size());
+        return written(wire::PeerBody::Forwarded, wire::CreateForwarded(builder, bytes));
+    }
+
+    offset operator()(const configuration_request& body)
+    {
+        return written(wire::PeerBody::ConfigurationRequest,
+                       wire::CreateConfigurationRequest(builder, body.newer_than.value));
+    }
+
+    offset operator()(const configuration_reply& body)
+    {
+        const auto envelope = builder.CreateString(body.envelope);
+        const auto digests = members(body.members);
+        return written(wire::PeerBody::ConfigurationReply,
+                       wire::CreateConfigurationReply(builder, body.generation.value,
+                                                      envelope, digests));
+    }
+};
+
+} // namespace
+
+boost::leaf::result<peer_envelope> decode_peer(payload_view message, const peer_key& key,
+                                               std::size_t longest)
+{
+    if (message.size() <= hash_size || message.size() > longest)
+    {
+        return boost::leaf::new_error(drop_reason::malformed);
+    }
+    if (!is_authentic(message, key))
+    {
+        return boost::leaf::new_error(drop_reason::unauthenticated_peer);
+    }
+    const payload_view bytes = message.subspan(hash_size);
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()),
+                                   bytes.size());
+    if (!wire::VerifyPeerMessageBuffer(verifier))
+    {
+        return boost::leaf::new_error(drop_reason::malformed);
+    }
+    const wire::PeerMessage& read = *wire::GetPeerMessage(bytes.data());
+    if (read.version() != peer_version)
+    {
+        return boost::leaf::new_error(drop_reason::unknown_version);
+    }
+    BOOST_LEAF_AUTO(body, body_of(read));
+    return peer_envelope{
+        .sender = {read.sender()}, .sequence = read.sequence(), .body = std::move(body)};
+}
+
+void encode_peer(flatbuffers::FlatBufferBuilder& builder, const peer_envelope& envelope,
+                 const peer_key& key, std::vector<std::byte>& out)
+{
+    builder.Clear();
+    body_writer writer{.builder = builder};
+    const auto body = std::visit(writer, envelope.body);
+    const auto root =
+        wire::CreatePeerMessage(builder, peer_version, envelope.sender.value,
+                                envelope.sequence, writer.type, body);
+    wire::FinishPeerMessageBuffer(builder, root);
+    const auto bytes =
+        std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize()));
+    const hash_bytes hash = keyed_hash(bytes, key);
+    const auto hash_view = std::as_bytes(std::span(hash));
+    out.insert(out.end(), hash_view.begin(), hash_view.end());
+    out.insert(out.end(), bytes.begin(), bytes.end());
+}
+
+boost::leaf::result<peer_key> parse_peer_key(std::string_view text)
+{
+    peer_key key{};
+    std::size_t read = 0;
+    const int status = sodium_hex2bin(key.data(), key.size(), text.data(), text.size(),
+                                      nullptr, &read, nullptr);
+    if (status != 0 || read != key.size() || text.size() != 2 * key.size())
+    {
+        return boost::leaf::new_error(malformed_peer_key{});
+    }
+    return key;
+}
+
+} // namespace kumquatpath
