--- /dev/null
+++ b/include/kumquatpath/decision/instance.hpp
@@ -0,0 +1,81 @@
+#ifndef KUMQUATPATH_DECISION_INSTANCE_HPP
+#define KUMQUATPATH_DECISION_INSTANCE_HPP
+
+/// \file
+/// One entry instance: the decisions of all duties, composed.
+///
+/// Each function takes an event and the present time and appends the actions that answer
+/// it. The daemon carries the actions out over sockets; a test or a bench carries them
+/// out over whatever stands in for them. An instance_state belongs to one thread.
+
+#include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/decision/membership.hpp>
+#include <kumquatpath/model/configuration.hpp>
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace kumquatpath
+{
+
+/// What an instance is told when it starts.
+struct instance_options
+{
+    member_digest self;
+    membership_options membership;
+};
+
+/// The slots of one service, placed.
+struct placed_service
+{
+    std::vector<target_id> slots;
+};
+
+/// Everything that one instance remembers.
+struct instance_state
+{
+    instance_options options;
+    kumquatpath::membership members;
+    std::shared_ptr<const configuration> in_force;
+    std::unordered_map<service_id, placed_service> services;
+    /// The newest generation that any peer told of, and who told it.
+    generation newest_heard;
+    instance_id newest_holder;
+};
+
+/// Returns the state of an instance that has just started.
+instance_state make_instance(const instance_options& options);
+
+/// Puts \p next in force, unless it is not newer than what is in force. Returns whether
+/// it did.
+bool adopt_configuration(instance_state& state, std::shared_ptr<const configuration> next,
+                         time_point now);
+
+/// Returns the peer that holds a newer configuration than this instance, if one is known.
+std::optional<instance_id> newer_configuration_at(const instance_state& state);
+
+/// Decides a packet that a caller sent to a listener of \p header.service.
+void decide_caller_packet(instance_state& state, const packet_header& header,
+                          payload_view payload, time_point now, action_list& actions);
+
+/// Decides a packet that a target sent.
+void decide_target_packet(instance_state& state, const packet_header& header,
+                          payload_view payload, time_point now, action_list& actions);
+
+/// Decides a caller's packet that \p sender passed on.
+void decide_passed_packet(instance_state& state, instance_id sender,
+                          const packet_header& header, payload_view payload,
+                          time_point now, action_list& actions);
+
+/// Decides a control message of \p sender.
+void decide_peer_message(instance_state& state, instance_id sender,
+                         const peer_message& message, time_point now,
+                         action_list& actions);
+
+/// Does what is due at \p now; to be called every few tens of milliseconds.
+void tick(instance_state& state, time_point now, action_list& actions);
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/include/kumquatpath/edge/udp_port.hpp
@@ -0,0 +1,71 @@
+#ifndef KUMQUATPATH_EDGE_UDP_PORT_HPP
+#define KUMQUATPATH_EDGE_UDP_PORT_HPP
+
+/// \file
+/// A UDP socket that receives and sends in batches.
+
+#include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/model/endpoint.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace kumquatpath
+{
+
+/// A datagram that was received; the bytes stay valid until the next receive.
+struct received_datagram
+{
+    endpoint source;
+    payload_view bytes;
+};
+
+/// A bound UDP socket. All functions belong to the thread that runs the io_context.
+///
+/// Sends are queued and go out in one system call; a datagram that the kernel does not
+/// take is dropped and counted, as any network may drop it.
+class udp_port
+{
+public:
+    /// Binds to \p local. Throws boost::system::system_error if that fails.
+    udp_port(boost::asio::io_context& context, const endpoint& local,
+             std::size_t longest_datagram);
+    ~udp_port();
+    udp_port(const udp_port&) = delete;
+    udp_port& operator=(const udp_port&) = delete;
+
+    /// Calls \p handler whenever datagrams wait, until the port is closed.
+    void on_readable(std::function<void()> handler);
+
+    /// Receives the datagrams that wait, up to one batch; none means none wait.
+    std::span<const received_datagram> receive();
+
+    /// Queues \p bytes, which are copied, to be sent to \p to; sends when a batch is
+    /// full.
+    void queue(const endpoint& to, payload_view bytes);
+
+    /// Sends what is queued.
+    void flush();
+
+    /// Returns how many datagrams the kernel refused.
+    std::uint64_t send_failures() const;
+
+private:
+    struct buffers;
+
+    void wait();
+
+    boost::asio::ip::udp::socket socket_;
+    std::unique_ptr<buffers> buffers_;
+    std::function<void()> handler_;
+    std::uint64_t send_failures_ = 0;
+};
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/edge/log.cpp
@@ -0,0 +1,171 @@
+#include <kumquatpath/edge/log.hpp>
+
+#include <boost/json/serialize.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <thread>
+
+// The library has its own ways with warnings.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wall"
+#pragma GCC diagnostic ignored "-Wextra"
+#include <easylogging++.h>
+#pragma GCC diagnostic pop
+
+namespace kumquatpath
+{
+namespace
+{
+
+constexpr std::size_t most_waiting_lines = 4096;
+
+struct waiting_line
+{
+    log_level level = log_level::info;
+    std::string text;
+};
+
+/// The queue between the threads that log and the thread that writes. Many threads log,
+/// so this is the one queue that a lock guards; no thread that decides packets logs per
+/// packet.
+struct line_queue
+{
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::deque<waiting_line> lines;
+    std::string instance;
+    std::uint64_t dropped = 0;
+    bool is_open = false;
+    std::thread writer;
+};
+
+line_queue& queue()
+{
+    static line_queue only;
+    return only;
+}
+
+std::string_view name_of(log_level level)
+{
+    switch (level)
+    {
+    case log_level::warning:
+        return "warning";
+    case log_level::error:
+        return "error";
+    default:
+        return "info";
+    }
+}
+
+std::string text_of(log_level level, std::string_view instance, std::string_view event,
+                    const boost::json::object& fields)
+{
+    const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+    boost::json::object line = {{"time_ms", now.time_since_epoch().count()},
+                                {"level", name_of(level)},
+                                {"instance", instance},
+                                {"event", event}};
+    for (const auto& field : fields)
+    {
+        line.insert(field);
+    }
+    return boost::json::serialize(line);
+}
+
+void write(const waiting_line& line)
+{
+    switch (line.level)
+    {
+    case log_level::warning:
+        LOG(WARNING) << line.text;
+        break;
+    case log_level::error:
+        LOG(ERROR) << line.text;
+        break;
+    default:
+        LOG(INFO) << line.text;
+        break;
+    }
+}
+
+void write_until_closed()
+{
+    line_queue& shared = queue();
+    std::unique_lock lock(shared.mutex);
+    while (shared.is_open || !shared.lines.empty())
+    {
+        shared.changed.wait(lock,
+                            [&] { return !shared.is_open || !shared.lines.empty(); });
+        std::deque<waiting_line> taken;
+        taken.swap(shared.lines);
+        lock.unlock();
+        for (const waiting_line& each : taken)
+        {
+            write(each);
+        }
+        lock.lock();
+    }
+}
+
+void configure_library()
+{
+    el::Configurations settings;
+    settings.setToDefault();
+    settings.setGlobally(el::ConfigurationType::Format, "%msg");
+    settings.setGlobally(el::ConfigurationType::ToFile, "false");
+    settings.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    el::Loggers::setDefaultConfigurations(settings, true);
+}
+
+} // namespace
+
+log_writer::log_writer(std::string_view instance)
+{
+    configure_library();
+    line_queue& shared = queue();
+    const std::scoped_lock lock(shared.mutex);
+    shared.instance = instance;
+    shared.is_open = true;
+    shared.writer = std::thread(write_until_closed);
+}
+
+log_writer::~log_writer()
+{
+    line_queue& shared = queue();
+    {
+        const std::scoped_lock lock(shared.mutex);
+        shared.is_open = false;
+    }
+    shared.changed.notify_all();
+    shared.writer.join();
+}
+
+void log(log_level level, std::string_view event, boost::json::object fields)
+{
+    line_queue& shared = queue();
+    const std::scoped_lock lock(shared.mutex);
+    if (!shared.is_open)
+    {
+        return;
+    }
+    if (shared.lines.size() >= most_waiting_lines)
+    {
+        ++shared.dropped;
+        return;
+    }
+    if (shared.dropped > 0)
+    {
+        fields["lines_dropped_before"] = shared.dropped;
+        shared.dropped = 0;
+    }
+    shared.lines.push_back({level, text_of(level, shared.instance, event, fields)});
+    shared.changed.notify_one();
+}
+
+} // namespace kumquatpath
