Decide submissions at most once by a write-once claim

Cause: a submission that may not be repeated can reach several instances, as copies that the fabric makes or as the caller's retries, and no instance knows what the others did with it.

Ruled out: a table of seen requests on each instance (a copy at another instance runs again); one keeper with a replica that takes over by suspicion (a keeper that was only paused sends as well); a ballot protocol with several rounds (the split votes that it would resolve need two coordinators and a dead holder at once, and may be told as "unknown").

Change: the decision of a key is a write-once record at three holders, ranked by rendezvous hashing over an agreed roster. Versions of the roster are joint until a majority of the old holders has followed the new one for the transition time, and an instance that hears no majority at its version within the view lease decides nothing. The announcement of a restarted instance counts for nothing until it has a whole memory or the store's word, and sightings must be fresh when they end the joint time; without this, a majority could be counted whose member had forgotten the version that it had announced.

--- /dev/null
+++ b/test/decision/roster_test.cpp
@@ -0,0 +1,86 @@
+/// \file
+/// The roster: who may decide, and when two versions count together.
+
+#include "submission_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpath;
+using namespace kumquatpath::test;
+using namespace std::chrono_literals;
+
+TEST_GROUP(roster)
+{
+    submission_fixture it;
+    roster second{
+        .version = {2}, .holders = {{1}, {2}, {3}, {4}}, .previous = it.first.holders};
+};
+
+TEST(roster, a_majority_that_follows_the_version_is_needed_to_decide)
+{
+    CHECK_TRUE(may_decide(it.view, it.now));
+    it.now += 1s;
+    tick_roster(it.view, it.now);
+    it.now += 1s;
+    tick_roster(it.view, it.now);
+    it.now += 1s;
+    tick_roster(it.view, it.now);
+    CHECK_FALSE(may_decide(it.view, it.now));
+}
+
+TEST(roster, a_paused_instance_does_not_decide_until_it_has_heard_a_majority_again)
+{
+    it.now += 1001ms;
+    CHECK_FALSE(may_decide(it.view, it.now));
+    // What waited in the buffer through the pause counts for nothing.
+    it.hear_all(it.view, {1});
+    CHECK_FALSE(may_decide(it.view, it.now));
+    it.now += 500ms;
+    it.hear_all(it.view, {1});
+    CHECK_TRUE(may_decide(it.view, it.now));
+}
+
+TEST(roster, a_new_version_is_joint_until_the_old_holders_have_long_followed_it)
+{
+    learn_roster(it.view, second, roster_source::store, it.now);
+    CHECK_TRUE(is_joint(it.view, it.now + 1h));
+    it.hear_all(it.view, {2});
+    CHECK_TRUE(is_joint(it.view, it.now + 20s - 1ns));
+    CHECK_FALSE(is_joint(it.view, it.now + 20s));
+}
+
+TEST(roster, a_joint_version_names_the_holders_of_both)
+{
+    learn_roster(it.view, second, roster_source::store, it.now);
+    const holder_sets sets = holders_of(it.view, key_of(it.header), it.now);
+    LONGS_EQUAL(3, sets.current.size());
+    LONGS_EQUAL(3, sets.previous.size());
+}
+
+TEST(roster, the_version_in_force_never_goes_back)
+{
+    learn_roster(it.view, second, roster_source::store, it.now);
+    CHECK_FALSE(learn_roster(it.view, it.first, roster_source::store, it.now));
+    LONGS_EQUAL(2, it.view.current.version.value);
+}
+
+TEST(roster, a_restarted_instance_announces_no_version_that_one_peer_alone_told)
+{
+    it.view = start_roster_view({}, {1}, it.now - 12s);
+    it.view.last_tick = it.now;
+    learn_roster(it.view, it.first, roster_source::peer, it.now);
+    hear_roster_version(it.view, {2}, {1}, it.now);
+    hear_roster_version(it.view, {3}, {1}, it.now);
+    LONGS_EQUAL(0, announced_version(it.view).value);
+    hear_roster_version(it.view, {4}, {1}, it.now);
+    LONGS_EQUAL(1, announced_version(it.view).value);
+}
+
+TEST(roster, a_restarted_instance_without_the_store_announces_nothing_for_a_while)
+{
+    it.view = start_roster_view({}, {1}, it.now - 12s + 1ns);
+    it.view.last_tick = it.now;
+    learn_roster(it.view, it.first, roster_source::peer, it.now);
+    it.hear_all(it.view, {1});
+    LONGS_EQUAL(0, announced_version(it.view).value);
+}
