--- /dev/null
+++ b/test/decision/concurrency_limit_test.cpp
@@ -0,0 +1,121 @@
+/// \file
+/// The learned limit: it follows the targets' answers.
+
+#include <kumquatpath/decision/concurrency_limit.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+#include <vector>
+
+using namespace kumquatpath;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr target_id first_target{1};
+
+concurrency_limit limit_of_four_targets()
+{
+    concurrency_limit pool;
+    const std::vector<target_id> targets{{1}, {2}, {3}, {4}};
+    targets_are(pool, targets);
+    pool.limit = 16;
+    return pool;
+}
+
+/// Ends 500 requests, one a 10 ms, in a pool that keeps refusing work.
+void end_requests(concurrency_limit& pool, const latency_sample& sample, time_point& now)
+{
+    for (int i = 0; i < 500; ++i)
+    {
+        now += 10ms;
+        note_started(pool, first_target);
+        note_no_room(pool, now);
+        note_ended(pool, {}, first_target, sample, now);
+    }
+}
+
+} // namespace
+
+TEST_GROUP(concurrency_limit){};
+
+TEST(concurrency_limit, falls_while_answers_are_late)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    time_point now(1s);
+    end_requests(pool, {.latency = 30ms, .expected = 10ms}, now);
+
+    CHECK_COMPARE(pool.limit, <, 8);
+}
+
+TEST(concurrency_limit, grows_while_answers_are_early_and_work_is_refused)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    time_point now(1s);
+    end_requests(pool, {.latency = 10ms, .expected = 10ms}, now);
+
+    CHECK_COMPARE(pool.limit, >, 32);
+}
+
+TEST(concurrency_limit, stands_still_while_little_of_it_is_used)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    time_point now(1s);
+    for (int i = 0; i < 500; ++i)
+    {
+        now += 10ms;
+        note_started(pool, first_target);
+        note_ended(pool, {}, first_target, {.latency = 10ms, .expected = 10ms}, now);
+    }
+
+    DOUBLES_EQUAL(16, pool.limit, 1e-9);
+}
+
+TEST(concurrency_limit, falls_when_requests_time_out)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    time_point now(1s);
+    end_requests(pool, {.end = request_end::timed_out, .latency = 1s}, now);
+
+    CHECK_COMPARE(pool.limit, <=, 4);
+}
+
+TEST(concurrency_limit, a_target_that_refuses_at_once_has_no_room_for_a_while)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    time_point now(1s);
+    for (int i = 0; i < 10; ++i)
+    {
+        note_started(pool, first_target);
+        note_ended(pool, {}, first_target, {.end = request_end::refused_by_target}, now);
+    }
+
+    CHECK_FALSE(has_room(pool, {}, first_target, 1, now + 900ms));
+    CHECK_TRUE(has_room(pool, {}, first_target, 1, now + 1001ms));
+    CHECK_TRUE(has_room(pool, {}, {2}, 1, now));
+}
+
+TEST(concurrency_limit, a_target_takes_no_more_than_its_part)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    for (int i = 0; i < 5; ++i)
+    {
+        note_started(pool, first_target);
+    }
+
+    CHECK_FALSE(has_room(pool, {}, first_target, 1, time_point(1s)));
+    CHECK_TRUE(has_room(pool, {}, {2}, 1, time_point(1s)));
+}
+
+TEST(concurrency_limit, work_at_a_target_that_left_is_counted_until_it_ends)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    note_started(pool, first_target);
+    targets_are(pool, std::vector<target_id>{{2}, {3}, {4}});
+    LONGS_EQUAL(1, pool.in_flight);
+    note_ended(pool, {}, first_target, {.end = request_end::dropped}, time_point(1s));
+
+    LONGS_EQUAL(0, pool.in_flight);
+    DOUBLES_EQUAL(12, pool.limit, 1e-9);
+}
