Route flows by slots, their history and their keepers

Cause: most packets must find the target of their flow at any instance without state, and a slot that moves must not move the flows that are open on it.

Ruled out: listing the open flows of a slot when it moves. Draining one target of 14 under 2.4 million flows lists 170,000 of them, minutes of the control budget. Also ruled out: leaving a new flow unlisted because it falls on the oldest target of its slot; after a move away and back, the oldest target changes as epochs expire while the flow is still open.

Change: a configuration's live epochs give each slot its history. A slot with no history needs no state. New flows of a moved slot are listed by the slot's keeper, and a flow that is not listed rests on the oldest live target. New keepers ask former ones. Placement ranks targets with a multiplication instead of a full hash, and has fewer slots for large pools.

--- /dev/null
+++ b/src/decision/flow_hand_over.cpp
@@ -0,0 +1,290 @@
+#include "flow_router_detail.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace kumquatpath
+{
+namespace
+{
+
+using namespace detail;
+
+/// What a message costs besides its entries, and each entry, in encoded bytes.
+constexpr double message_bytes = 40;
+constexpr double entry_bytes = 12;
+/// A listing of this many entries fits in one datagram.
+constexpr std::size_t most_entries = 100;
+/// The most flows that are told to new keepers at one change of view.
+constexpr std::size_t most_told = 1024;
+constexpr std::chrono::seconds ask_again_after{5};
+/// A former keeper that has not told everything by then will not.
+constexpr std::chrono::seconds longest_hand_over{120};
+
+using group_firsts = std::array<instance_id, keeper_group_count>;
+
+group_firsts firsts_of(const keeper_groups& groups)
+{
+    group_firsts firsts;
+    std::ranges::transform(groups, firsts.begin(),
+                           [](const keeper_group& each) { return each.now.first; });
+    return firsts;
+}
+
+bool is_there(const member_view& view, instance_id id)
+{
+    return std::ranges::any_of(
+        view.members, [id](const member& each)
+        { return each.instance == id && each.state != member_state::dead; });
+}
+
+/// Collects what this instance remembers of flows whose keeper has gone.
+class memory_collector
+{
+public:
+    memory_collector(flow_router& router, const group_firsts& before, time_point now)
+        : router_(router), before_(before), now_(now)
+    {
+    }
+
+    void add(flow_key key, target_id target)
+    {
+        const service_placement* placement = find_placement(router_, key.service);
+        if (placement == nullptr || entries_.size() >= most_told)
+        {
+            return;
+        }
+        const std::uint16_t group = group_of_flow(*placement, key);
+        const instance_id next = router_.groups[group].now.first;
+        const instance_id gone = before_[group];
+        if (gone == instance_id{} || gone == next || is_there(router_.view, gone))
+        {
+            return;
+        }
+        entries_.push_back({next, key.service, {key.flow, target}});
+    }
+
+    /// Sends what was collected; what falls to this instance itself is taken in.
+    void finish(action_list& actions)
+    {
+        const instance_id self = router_.options.self;
+        for (const addressed_entry& each : entries_)
+        {
+            if (each.to == self)
+            {
+                handle_listing(router_, {}, {each.service, {each.entry}}, now_);
+            }
+        }
+        std::erase_if(entries_, [self](const addressed_entry& each)
+                      { return each.to == self || each.to == instance_id{}; });
+        send_listings(entries_, actions);
+    }
+
+private:
+    flow_router& router_;
+    const group_firsts& before_;
+    time_point now_;
+    std::vector<addressed_entry> entries_;
+};
+
+void tell_new_keepers(flow_router& router, const group_firsts& before, time_point now,
+                      action_list& actions)
+{
+    memory_collector memory(router, before, now);
+    for (const remembered_open& open : router.opens)
+    {
+        memory.add(open.key, open.target);
+    }
+    for (const flow_entry& entry : router.flows.places)
+    {
+        if (entry.role == flow_role::cached)
+        {
+            memory.add({entry.service, entry.flow}, entry.target);
+        }
+    }
+    memory.finish(actions);
+}
+
+void forget_old_opens(flow_router& router, time_point now)
+{
+    while (!router.opens.empty() &&
+           now - router.opens.front().passed > router.options.opener_memory)
+    {
+        router.opens.pop_front();
+    }
+}
+
+void ask_for_groups(flow_router& router, time_point now, action_list& actions)
+{
+    for (std::uint16_t i = 0; i < keeper_group_count; ++i)
+    {
+        keeper_group& group = router.groups[i];
+        group.is_complete = group.is_complete || now - group.changed > longest_hand_over;
+        const bool was_asked =
+            group.asked != time_point{} && now - group.asked < ask_again_after;
+        if (group.is_complete || was_asked || group.former == instance_id{})
+        {
+            continue;
+        }
+        if (!take_tokens(router.hand_over_budget, message_bytes, now))
+        {
+            return;
+        }
+        group.asked = now;
+        actions.emplace_back(send_to_peer{group.former, listing_request{.group = i}});
+    }
+}
+
+/// Whether this instance has to wait for its own hand-over before it can answer \p from.
+bool must_wait(const flow_router& router, instance_id from, std::uint16_t group)
+{
+    const keeper_group& state = router.groups[group];
+    return !state.is_complete && state.former != from;
+}
+
+/// The listed flows of one group, by service.
+using group_listing = std::map<service_id, std::vector<flow_listing::entry>>;
+
+std::vector<group_listing> list_groups(const flow_router& router)
+{
+    std::vector<group_listing> groups(keeper_group_count);
+    for (const flow_entry& entry : router.flows.places)
+    {
+        if (entry.role != flow_role::kept || entry.is_tentative)
+        {
+            continue;
+        }
+        const service_placement* placement = find_placement(router, entry.service);
+        if (placement != nullptr)
+        {
+            const auto group = group_of_flow(*placement, {entry.service, entry.flow});
+            groups[group][entry.service].push_back({entry.flow, entry.target});
+        }
+    }
+    return groups;
+}
+
+void queue_listing(flow_router& router, instance_id to, std::uint16_t group,
+                   const group_listing& listed)
+{
+    for (const auto& [service, entries] : listed)
+    {
+        for (std::size_t from = 0; from < entries.size(); from += most_entries)
+        {
+            const std::size_t until = std::min(entries.size(), from + most_entries);
+            const auto begin = entries.begin();
+            router.outbox.push_back(
+                {to,
+                 {.service = service,
+                  .entries = {begin + static_cast<std::ptrdiff_t>(from),
+                              begin + static_cast<std::ptrdiff_t>(until)},
+                  .group = group}});
+        }
+    }
+    router.outbox.push_back({to, {.complete = true, .group = group}});
+}
+
+void answer_requests(flow_router& router)
+{
+    // One pass over the table serves every request that waits.
+    const auto can_answer = [&router](const auto& request)
+    {
+        return !must_wait(router, request.first, request.second);
+    };
+    if (!router.outbox.empty() || std::ranges::none_of(router.requests, can_answer))
+    {
+        return;
+    }
+    const std::vector<group_listing> groups = list_groups(router);
+    for (const auto& request : router.requests)
+    {
+        if (can_answer(request))
+        {
+            queue_listing(router, request.first, request.second, groups[request.second]);
+        }
+    }
+    std::erase_if(router.requests, can_answer);
+}
+
+void send_queued(flow_router& router, time_point now, action_list& actions)
+{
+    while (!router.outbox.empty())
+    {
+        queued_listing& next = router.outbox.front();
+        const auto count = static_cast<double>(next.listing.entries.size());
+        if (!take_tokens(router.hand_over_budget, message_bytes + entry_bytes * count,
+                         now))
+        {
+            return;
+        }
+        actions.emplace_back(send_to_peer{next.to, std::move(next.listing)});
+        router.outbox.pop_front();
+    }
+}
+
+} // namespace
+
+namespace detail
+{
+
+void hand_over(flow_router& router, time_point now, action_list& actions)
+{
+    forget_old_opens(router, now);
+    if (router.options.mechanisms.hand_over)
+    {
+        ask_for_groups(router, now, actions);
+        answer_requests(router);
+        send_queued(router, now, actions);
+    }
+}
+
+} // namespace detail
+
+flow_router make_flow_router(const flow_router_options& options)
+{
+    flow_router router;
+    router.options = options;
+    router.view.self = options.self;
+    router.flows = make_flow_table(options.most_flows);
+    router.hint_budget.rate = options.hints_per_second;
+    router.hand_over_budget.rate = options.hand_over_rate;
+    return router;
+}
+
+void adopt_view(flow_router& router, const member_view& view, time_point now,
+                action_list& actions)
+{
+    observe(router, now);
+    const group_firsts before = firsts_of(router.groups);
+    router.view = view;
+    adopt_keepers(router.groups, view, now);
+    if (!router.options.mechanisms.hand_over || before == firsts_of(router.groups))
+    {
+        return;
+    }
+    tell_new_keepers(router, before, now, actions);
+    // What has just been listed may concern keepers that have changed, so it is told now.
+    for (unreplicated_flow& each : router.unreplicated)
+    {
+        each.listed = now - router.options.replication_delay;
+    }
+}
+
+void handle_listing_request(flow_router& router, instance_id from,
+                            const listing_request& request, time_point now)
+{
+    observe(router, now);
+    const std::pair wanted(from, request.group);
+    const bool is_queued =
+        std::ranges::any_of(router.outbox, [&wanted](const queued_listing& each)
+                            { return std::pair(each.to, each.listing.group) == wanted; });
+    if (request.group < keeper_group_count && !is_queued &&
+        router.requests.size() < 2 * std::size_t{keeper_group_count} &&
+        std::ranges::find(router.requests, wanted) == router.requests.end())
+    {
+        router.requests.push_back(wanted);
+    }
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/decision/flow_router.cpp
@@ -0,0 +1,306 @@
+#include "flow_router_detail.hpp"
+
+#include <kumquatpath/decision/flow_router.hpp>
+#include <kumquatpath/decision/invariant.hpp>
+
+#include <algorithm>
+
+namespace kumquatpath
+{
+namespace
+{
+
+using namespace detail;
+
+/// A packet passes at most this many instances after the one that received it.
+constexpr std::uint8_t most_hops = 3;
+
+/// One packet while it is decided.
+struct decision
+{
+    flow_router& router;
+    const routed_packet& packet;
+    const service_placement& placement;
+    slot_index slot;
+    slot_lookup rest;
+    time_point now;
+    action_list& actions;
+
+    flow_key key() const
+    {
+        return {packet.header.service, packet.header.flow};
+    }
+
+    const keeper_group& group() const
+    {
+        return router.groups[group_of(placement.service, slot)];
+    }
+
+    instance_id self() const
+    {
+        return router.options.self;
+    }
+
+    bool is_open() const
+    {
+        return packet.header.kind == packet_kind::open;
+    }
+};
+
+void refuse(const decision& at, refusal_reason reason)
+{
+    packet_header header = at.packet.header;
+    header.kind = packet_kind::refusal;
+    header.outcome = request_outcome::not_run;
+    header.reason = reason;
+    at.actions.emplace_back(send_to_caller{.header = header});
+}
+
+void drop(const decision& at, drop_reason reason)
+{
+    at.actions.emplace_back(drop_packet{reason});
+}
+
+void send(const decision& at, target_id target)
+{
+    if (target == target_id{})
+    {
+        at.is_open() ? refuse(at, refusal_reason::no_target)
+                     : drop(at, drop_reason::no_target);
+        return;
+    }
+    if (!assert_invariant(invariant::packet_stays_in_its_service,
+                          holds_target(at.placement, target)))
+    {
+        drop(at, drop_reason::no_target);
+        return;
+    }
+    ++at.router.counts.placed;
+    at.actions.emplace_back(send_to_target{target, at.packet.header, at.packet.payload});
+}
+
+/// Sends a packet of a flow that this instance holds.
+void send_known(const decision& at, flow_entry& entry)
+{
+    entry.seen = in_flow_ticks(at.now);
+    send(at, entry.target);
+    if (at.packet.header.kind == packet_kind::close)
+    {
+        forget_closed(at.router, entry);
+    }
+}
+
+void send_new_flow(const decision& at)
+{
+    ++at.router.counts.opened;
+    const bool is_in_force = at.router.switched >= at.router.plan->generation;
+    const bool is_active =
+        std::ranges::binary_search(at.placement.layers.back().targets, at.rest.current);
+    assert_invariant(invariant::draining_target_gets_no_new_flow,
+                     !is_in_force || is_active || at.rest.current == target_id{});
+    send(at, at.rest.current);
+}
+
+bool pass(const decision& at, instance_id to)
+{
+    const bool goes_back = to == at.packet.from || to == at.self();
+    if (to == instance_id{} || goes_back || at.packet.header.hops >= most_hops)
+    {
+        return false;
+    }
+    packet_header header = at.packet.header;
+    ++header.hops;
+    ++at.router.counts.passed_on;
+    at.actions.emplace_back(pass_to_peer{to, header, at.packet.payload});
+    return true;
+}
+
+/// Remembers an open that its keeper decides, so that the keeper's death loses nothing.
+void remember_open(const decision& at)
+{
+    flow_router& router = at.router;
+    // The keeper's choice is known only while no change is under way.
+    if (!router.announced.empty() || at.packet.from != instance_id{})
+    {
+        return;
+    }
+    if (router.opens.size() >= router.options.most_remembered_opens)
+    {
+        router.opens.pop_front();
+    }
+    router.opens.push_back({at.key(), at.rest.current, at.now});
+}
+
+/// Decides a new flow of a moved slot here, and lists it.
+void list_new_flow(const decision& at)
+{
+    if (at.rest.current == target_id{})
+    {
+        refuse(at, refusal_reason::no_target);
+        return;
+    }
+    flow_entry* entry = insert_flow(at.router.flows, at.key());
+    if (entry == nullptr)
+    {
+        refuse(at, refusal_reason::table_full);
+        return;
+    }
+    entry->target = at.rest.current;
+    entry->seen = in_flow_ticks(at.now);
+    entry->role = flow_role::kept;
+    ++at.router.counts.listed;
+    queue_replication(at.router, *entry, at.now);
+    send_new_flow(at);
+}
+
+/// Whether the former keeper may still know flows that this one doesn't.
+bool is_settled(const decision& at)
+{
+    const keeper_group& group = at.group();
+    return group.is_complete && at.now - group.changed >= at.router.options.settling;
+}
+
+/// Whether other instances may still be telling this keeper what a dead one knew.
+bool is_recovering(const decision& at)
+{
+    const keeper_group& group = at.group();
+    return group.former == instance_id{} && group.changed != time_point{} &&
+           at.now - group.changed < at.router.options.recovery;
+}
+
+/// Answers for a flow that no list of this keeper holds.
+void send_unlisted(const decision& at)
+{
+    const bool hands_over = at.router.options.mechanisms.hand_over;
+    if (hands_over && at.group().now.first == at.self() && !is_settled(at))
+    {
+        if (pass(at, at.group().former))
+        {
+            return;
+        }
+        if (is_recovering(at))
+        {
+            ++at.router.counts.dropped_uncertain;
+            drop(at, drop_reason::no_keeper);
+            return;
+        }
+    }
+    send(at, at.rest.base);
+}
+
+/// Decides a packet of a moved slot at the instance that decides for the slot.
+void decide_as_keeper(const decision& at)
+{
+    if (at.is_open())
+    {
+        list_new_flow(at);
+        return;
+    }
+    send_unlisted(at);
+}
+
+/// Decides a packet that this instance cannot place with certainty.
+void decide_uncertain(const decision& at)
+{
+    const keepers& keepers = at.group().now;
+    if (pass(at, keepers.first) || pass(at, keepers.replica))
+    {
+        return;
+    }
+    ++at.router.counts.dropped_uncertain;
+    drop(at, drop_reason::no_keeper);
+}
+
+void hint_sender(const decision& at, const flow_entry& entry)
+{
+    // Only a flow that comes back is worth a hint: most are over after one packet.
+    const bool is_wanted = at.packet.from != instance_id{} && !at.is_open() &&
+                           entry.role == flow_role::kept && !entry.is_tentative;
+    if (is_wanted && take_tokens(at.router.hint_budget, 1, at.now))
+    {
+        at.actions.emplace_back(send_to_peer{
+            at.packet.from, flow_hint{entry.service, entry.flow, entry.target}});
+    }
+}
+
+/// Whether the packet may go straight to where \p entry says. The keeper has to see the
+/// end of a flow, so a mere copy does not serve for that.
+bool serves(const decision& at, const flow_entry& entry)
+{
+    return entry.role == flow_role::kept || at.packet.header.kind != packet_kind::close ||
+           !at.rest.is_moved;
+}
+
+void decide(const decision& at)
+{
+    flow_entry* entry = find_flow(at.router.flows, at.key());
+    if (entry != nullptr && serves(at, *entry))
+    {
+        hint_sender(at, *entry);
+        send_known(at, *entry);
+        return;
+    }
+    if (!is_certain(at.router, at.now))
+    {
+        decide_uncertain(at);
+        return;
+    }
+    if (!at.rest.is_moved)
+    {
+        at.is_open() ? send_new_flow(at) : send(at, at.rest.current);
+        return;
+    }
+    if (pass(at, at.group().now.first))
+    {
+        if (at.is_open())
+        {
+            remember_open(at);
+        }
+        return;
+    }
+    decide_as_keeper(at);
+}
+
+} // namespace
+
+void route_packet(flow_router& router, const routed_packet& packet, time_point now,
+                  action_list& actions)
+{
+    observe(router, now);
+    const packet_header& header = packet.header;
+    const service_placement* placement = find_placement(router, header.service);
+    if (placement == nullptr)
+    {
+        actions.emplace_back(drop_packet{drop_reason::unknown_service});
+        return;
+    }
+    const slot_index slot = slot_of(header.flow, placement->slot_count);
+    const slot_lookup rest =
+        look_up(*placement, slot, wall_at(router, now), router.switched);
+    decide({router, packet, *placement, slot, rest, now, actions});
+}
+
+void note_answer(flow_router& router, flow_key key, target_id target, time_point now)
+{
+    observe(router, now);
+    flow_entry* entry = find_flow(router.flows, key);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    entry->seen = in_flow_ticks(now);
+    if (entry->is_tentative && entry->target == target)
+    {
+        entry->is_tentative = false;
+        queue_replication(router, *entry, now);
+    }
+}
+
+std::size_t flows_on(const flow_router& router, target_id target)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        router.flows.places, [target](const flow_entry& entry)
+        { return entry.role != flow_role::none && entry.target == target; }));
+}
+
+} // namespace kumquatpath
--- a/src/decision/placement.cpp
+++ b/src/decision/placement.cpp
@@ -1,32 +1,50 @@
 #include <kumquatpath/decision/placement.hpp>
 
 #include <algorithm>
-#include <bit>
 
 namespace kumquatpath
 {
 namespace
 {
 
-constexpr std::uint32_t slots_per_target = 256;
-constexpr std::uint32_t fewest_slots = 1024;
+constexpr std::uint32_t fewest_slots = 1U << 12U;
 constexpr std::uint32_t most_slots = 1U << 20U;
+constexpr std::uint32_t fewest_slots_per_target = 100;
+/// Each larger count of slots is this many times the one before.
+constexpr std::uint32_t slot_count_step = 16;
 /// A target's cap is its even share plus one in this many.
 constexpr std::size_t slack_divisor = 50;
 
-/// Returns the index of the target that scores highest for \p slot among those with room.
-std::size_t best_with_room(std::span<const target_id> targets, std::uint32_t slot,
-                           const std::vector<std::size_t>& room)
+/// A target that still has room, while slots are placed.
+struct open_target
 {
-    std::size_t best = targets.size();
+    std::uint64_t hash = 0;
+    target_id target;
+    std::size_t room = 0;
+};
+
+/// Combines two well mixed hashes; much cheaper than mix(), which made them.
+std::uint64_t score(std::uint64_t slot_hash, std::uint64_t target_hash) noexcept
+{
+    constexpr std::uint64_t multiplier = 0x9fb21c651e98df25ULL;
+    std::uint64_t value = (slot_hash ^ target_hash) * multiplier;
+    value ^= value >> 32U;
+    return value * multiplier;
+}
+
+/// Returns the index of the target that scores highest for \p slot.
+std::size_t best_of(const std::vector<open_target>& targets, std::uint32_t slot)
+{
+    const std::uint64_t slot_hash = mix(slot, 0);
+    std::size_t best = 0;
     std::uint64_t best_score = 0;
     for (std::size_t i = 0; i < targets.size(); ++i)
     {
-        const std::uint64_t score = mix(slot, targets[i].value);
-        if (room[i] > 0 && (best == targets.size() || score > best_score))
+        const std::uint64_t next = score(slot_hash, targets[i].hash);
+        if (next > best_score)
         {
             best = i;
-            best_score = score;
+            best_score = next;
         }
     }
     return best;
@@ -49,8 +67,12 @@
 
 std::uint32_t slot_count_for(std::size_t target_count) noexcept
 {
-    const auto wanted = static_cast<std::uint32_t>(target_count) * slots_per_target;
-    return std::clamp(std::bit_ceil(wanted), fewest_slots, most_slots);
+    std::uint32_t count = fewest_slots;
+    while (count < most_slots && count < target_count * fewest_slots_per_target)
+    {
+        count *= slot_count_step;
+    }
+    return count;
 }
 
 std::vector<target_id> place_slots(std::span<const target_id> targets,
@@ -62,13 +84,21 @@
         return placed;
     }
     const std::size_t share = slot_count / targets.size() + 1;
-    std::vector<std::size_t> room(targets.size(), share + share / slack_divisor);
+    std::vector<open_target> open;
+    open.reserve(targets.size());
+    for (const target_id each : targets)
+    {
+        open.push_back({mix(each.value, 1), each, share + share / slack_divisor});
+    }
     placed.reserve(slot_count);
     for (std::uint32_t slot = 0; slot < slot_count; ++slot)
     {
-        const std::size_t best = best_with_room(targets, slot, room);
-        --room[best];
-        placed.push_back(targets[best]);
+        const std::size_t best = best_of(open, slot);
+        placed.push_back(open[best].target);
+        if (--open[best].room == 0)
+        {
+            open.erase(open.begin() + static_cast<std::ptrdiff_t>(best));
+        }
     }
     return placed;
 }
