Read and check the configuration, store it and submit it

Cause: the thin whole path needs a checked configuration on the platform, and a client that puts it there.

Ruled out: stopping at the first fault (a newcomer would mend a file in as many rounds as it has faults); Boost.JSON's own treatment of keys that stand twice (it keeps the last one silently, so an event handler looks for them); writing a generation into the history when it is published (a crash between the two writes leaves a gap, or an entry that never was in force).

Change: check_document() reads a document in one pass and reports every fault with its JSON pointer and remedy. The envelope adds generation, submission and the past placements of each service, and refuses a ninth. platform_client speaks the platform's protocol with a bound on every call and tells "not sent" from "may have taken effect". publish() copies what is in force into the history, then swaps; it merges with what others changed in other objects, and resolves a lost answer by its submission. The client has check, apply, drain, undrain and rollback; the other queries follow.

--- /dev/null
+++ b/include/kumquatpath/model/configuration_envelope.hpp
@@ -0,0 +1,94 @@
+#ifndef KUMQUATPATH_MODEL_CONFIGURATION_ENVELOPE_HPP
+#define KUMQUATPATH_MODEL_CONFIGURATION_ENVELOPE_HPP
+
+/// \file
+/// The value that the platform stores for an accepted configuration: the operators'
+/// document with its generation, its submission and the past placements of its services.
+
+#include <kumquatpath/model/configuration.hpp>
+#include <kumquatpath/model/configuration_fault.hpp>
+
+#include <boost/json/value.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace kumquatpath
+{
+
+/// The key under which the configuration in force is stored.
+inline constexpr std::string_view configuration_key = "kumquatpath/configuration";
+
+/// How long a past placement is kept beyond its service's flow lifetime; it covers the
+/// difference between wall clocks.
+inline constexpr std::chrono::seconds epoch_slack{60};
+
+/// A past placement, with the targets' names in ascending order.
+struct epoch_record
+{
+    generation retired_in;
+    wall_time retired_at;
+    std::vector<std::string> targets;
+};
+
+/// The past placements of each service, by its name, oldest first. A service that was
+/// removed keeps its own until they lapse, so that it may come back.
+using epoch_records = std::map<std::string, std::vector<epoch_record>, std::less<>>;
+
+/// An accepted configuration as it is stored.
+struct configuration_envelope
+{
+    kumquatpath::generation generation;
+    std::string submission;
+    std::string author;
+    wall_time submitted_at;
+    epoch_records epochs;
+    boost::json::value document;
+    /// The document after its check, with generation, submission and epochs filled in.
+    configuration checked;
+};
+
+/// A document that an operator submits.
+struct submission_options
+{
+    boost::json::value document;
+    std::string submission;
+    std::string author;
+};
+
+/// A failure of next_envelope(): the change would need one more past placement of a
+/// service than most_placement_epochs.
+struct too_many_epochs
+{
+    std::string service;
+    /// When the oldest of them lapses and the change can be made.
+    wall_time free_at;
+};
+
+/// Returns the envelope that follows \p previous (null: there is none) when \p options is
+/// submitted at \p now.
+///
+/// Fails with configuration_faults or too_many_epochs. The generation is one more than
+/// the previous one. A service whose set of active targets changes gets its former set as
+/// a past placement. Past placements lapse after the flow lifetime and epoch_slack; time
+/// never runs backwards from one envelope to the next, whatever the clients' clocks say.
+boost::leaf::result<configuration_envelope>
+next_envelope(const configuration_envelope* previous, submission_options options,
+              wall_time now);
+
+/// Writes \p envelope as JSON. Fails with configuration_faults when the text is larger
+/// than the platform's largest value.
+boost::leaf::result<std::string> write_envelope(const configuration_envelope& envelope);
+
+/// Reads and checks what write_envelope() wrote. Fails with configuration_faults.
+boost::leaf::result<configuration_envelope> parse_envelope(std::string_view text);
+
+/// Reads and checks a stored configuration. Fails with configuration_faults.
+boost::leaf::result<configuration> read_envelope(std::string_view text);
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/client/command_line.cpp
@@ -0,0 +1,187 @@
+#include "client/command_line.hpp"
+
+#include "client/verb_table.hpp"
+
+#include <tclap/CmdLine.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace kumquatpath
+{
+namespace
+{
+
+namespace leaf = boost::leaf;
+
+constexpr std::string_view version = "0.1.0";
+
+leaf::error_id usage(std::string argument, std::string reason)
+{
+    return leaf::new_error(usage_fault{std::move(argument), std::move(reason)});
+}
+
+bool asks_for_help(const std::vector<std::string>& arguments)
+{
+    return std::ranges::any_of(arguments, [](const std::string& each)
+                               { return each == "--help" || each == "-h"; });
+}
+
+/// Returns the place of the first argument that is neither an option nor its value.
+std::vector<std::string>::const_iterator
+find_verb(const std::vector<std::string>& arguments)
+{
+    auto each = arguments.begin();
+    while (each != arguments.end() && each->starts_with('-'))
+    {
+        each += *each == "--platform" && std::next(each) != arguments.end() ? 2 : 1;
+    }
+    return each;
+}
+
+/// The parser of one verb: every argument exists, and those that the verb takes are
+/// added.
+class verb_parser
+{
+public:
+    explicit verb_parser(const verb_entry& entry)
+        : line_(std::string(entry.summary), ' ', std::string(version), false)
+    {
+        line_.setExceptionHandling(false);
+        line_.add(platform_);
+        line_.add(json_);
+        add_if(entry, argument::file, file_);
+        add_if(entry, argument::object, kind_);
+        add_if(entry, argument::object, name_);
+        add_if(entry, argument::past_generation, generation_);
+        add_if(entry, argument::optional_generation, chosen_generation_);
+        add_if(entry, argument::base, base_);
+        add_if(entry, argument::wait, wait_);
+        add_if(entry, argument::wait, timeout_);
+        add_if(entry, argument::author, author_);
+        add_if(entry, argument::last, last_);
+    }
+
+    leaf::result<command_options> parse(const verb_entry& entry,
+                                        std::vector<std::string> arguments,
+                                        const command_environment& environment)
+    {
+        try
+        {
+            line_.parse(arguments);
+        }
+        catch (const TCLAP::ArgException& fault)
+        {
+            return usage(fault.argId(), fault.error());
+        }
+        command_options options{.verb = entry.verb};
+        options.platform =
+            platform_.isSet() ? platform_.getValue() : environment.platform;
+        options.author = author_.isSet() ? author_.getValue() : environment.user;
+        options.json = json_.getValue();
+        options.file = file_.getValue();
+        options.name = name_.getValue();
+        options.wait = wait_.getValue();
+        options.timeout = std::chrono::seconds(timeout_.getValue());
+        options.last = last_.getValue();
+        if (base_.isSet())
+        {
+            options.base = generation{base_.getValue()};
+        }
+        if (generation_.isSet() || chosen_generation_.isSet())
+        {
+            options.generation =
+                generation{generation_.isSet() ? generation_.getValue()
+                                               : chosen_generation_.getValue()};
+        }
+        if (entry.takes(argument::object))
+        {
+            BOOST_LEAF_ASSIGN(options.kind, read_kind());
+        }
+        return options;
+    }
+
+private:
+    void add_if(const verb_entry& entry, argument which, TCLAP::Arg& arg)
+    {
+        if (entry.takes(which))
+        {
+            line_.add(arg);
+        }
+    }
+
+    leaf::result<drain_kind> read_kind()
+    {
+        const std::string& word = kind_.getValue();
+        if (word == "target")
+        {
+            return drain_kind::target;
+        }
+        if (word == "instance")
+        {
+            return drain_kind::instance;
+        }
+        if (word == "data-centre")
+        {
+            return drain_kind::data_centre;
+        }
+        return usage(word, "Write target, instance or data-centre.");
+    }
+
+    using text = TCLAP::ValueArg<std::string>;
+    using number = TCLAP::ValueArg<std::uint64_t>;
+    using unlabelled_text = TCLAP::UnlabeledValueArg<std::string>;
+
+    TCLAP::CmdLine line_;
+    text platform_{"", "platform", "the platform's address", false, "", "ip:port"};
+    TCLAP::SwitchArg json_{"", "json", "print JSON"};
+    unlabelled_text file_{"file", "a configuration document", true, "", "FILE"};
+    unlabelled_text kind_{"kind", "what kind of object", true, "", "KIND"};
+    unlabelled_text name_{"name", "the object's name", true, "", "NAME"};
+    TCLAP::UnlabeledValueArg<std::uint64_t> generation_{"generation", "a generation",
+                                                        true, 0, "GENERATION"};
+    number chosen_generation_{"", "generation", "a generation", false, 0, "GENERATION"};
+    number base_{"",    "base", "the generation the file was edited from",
+                 false, 0,      "GENERATION"};
+    TCLAP::SwitchArg wait_{"", "wait", "wait until it is in force"};
+    TCLAP::ValueArg<std::uint32_t> timeout_{"",    "timeout", "how long to wait",
+                                            false, 60,        "SECONDS"};
+    text author_{"", "author", "who submits the change", false, "", "NAME"};
+    number last_{"", "last", "how many generations to show", false, 20, "COUNT"};
+};
+
+} // namespace
+
+leaf::result<command_options> read_command_line(const std::vector<std::string>& arguments,
+                                                const command_environment& environment)
+{
+    const auto word = find_verb(arguments);
+    if (word == arguments.end())
+    {
+        if (arguments.empty() || asks_for_help(arguments))
+        {
+            return leaf::new_error(help_wanted{});
+        }
+        return usage("", "Name a command or a query.");
+    }
+    const verb_entry* const entry = find_verb_entry(*word);
+    if (entry == nullptr)
+    {
+        if (*word == "help")
+        {
+            return leaf::new_error(help_wanted{});
+        }
+        return usage(*word, "There is no such command or query.");
+    }
+    if (asks_for_help(arguments))
+    {
+        return leaf::new_error(help_wanted{entry->verb});
+    }
+    // The parser takes the program's name first.
+    std::vector<std::string> rest = {"kumquatpath"};
+    rest.insert(rest.end(), arguments.begin(), word);
+    rest.insert(rest.end(), std::next(word), arguments.end());
+    return verb_parser(*entry).parse(*entry, std::move(rest), environment);
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/client/commands.hpp
@@ -0,0 +1,59 @@
+#ifndef KUMQUATPATH_CLIENT_COMMANDS_HPP
+#define KUMQUATPATH_CLIENT_COMMANDS_HPP
+
+/// \file
+/// The commands: what changes the configuration.
+
+#include "client/command_line.hpp"
+#include "client/publication.hpp"
+
+#include <kumquatpath/edge/key_value_store.hpp>
+
+#include <boost/leaf/result.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace kumquatpath
+{
+
+/// Who submits a change, when, and under which random text.
+struct submitter
+{
+    std::string author;
+    std::string submission;
+    wall_time now;
+};
+
+/// Publishes the document in \p text, which was edited from \p base or, if that is empty,
+/// from the generation that it names itself. Fails as publish() does, and with
+/// base_required or unknown_generation.
+boost::leaf::result<publication> apply(key_value_store& store, std::string_view text,
+                                       std::optional<generation> base,
+                                       const submitter& by);
+
+/// An object, and the state that it is to be in.
+struct state_change
+{
+    drain_kind kind = drain_kind::target;
+    std::string name;
+    administrative_state state = administrative_state::draining;
+};
+
+/// Publishes the configuration in force with the state of one object changed. Fails as
+/// publish() does, and with unknown_object or nothing_in_force.
+boost::leaf::result<publication>
+change_state(key_value_store& store, const state_change& change, const submitter& by);
+
+/// Publishes the content of \p wanted again. Fails as publish() does, and with
+/// unknown_generation or nothing_in_force.
+boost::leaf::result<publication> roll_back(key_value_store& store, generation wanted,
+                                           const submitter& by);
+
+/// Returns \p document with the state of one object changed. Fails with unknown_object.
+boost::leaf::result<boost::json::value> with_state(const boost::json::value& document,
+                                                   const state_change& change);
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/client/failure.cpp
@@ -0,0 +1,244 @@
+#include "client/failure.hpp"
+
+#include "client/command_line.hpp"
+#include "client/publication.hpp"
+#include "client/wall_clock.hpp"
+
+#include <kumquatpath/edge/key_value_store.hpp>
+#include <kumquatpath/model/configuration_fault.hpp>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <ostream>
+
+namespace kumquatpath
+{
+namespace
+{
+
+namespace json = boost::json;
+
+/// What is told of a failure.
+struct failure_report
+{
+    exit_code code = exit_code::refused;
+    /// The failure's name in JSON output.
+    std::string kind;
+    std::string message;
+    /// What JSON output tells besides.
+    json::object details;
+};
+
+exit_code tell(const failure_output& output, failure_report report)
+{
+    if (!output.json)
+    {
+        output.errors << report.message << '\n';
+        return report.code;
+    }
+    json::object whole = std::move(report.details);
+    whole["failure"] = report.kind;
+    whole["message"] = report.message;
+    output.out << json::serialize(whole) << '\n';
+    return report.code;
+}
+
+failure_report report_of(const configuration_faults& failure)
+{
+    failure_report report{.kind = "configuration_faults"};
+    json::array list;
+    for (const configuration_fault& each : failure.faults)
+    {
+        const std::string place = each.pointer.empty() ? "(document)" : each.pointer;
+        report.message += place + ": " + description(each) + ' ' + remedy(each) + '\n';
+        list.push_back(json::object{{"kind", to_string(each.kind)},
+                                    {"pointer", each.pointer},
+                                    {"name", each.name},
+                                    {"description", description(each)},
+                                    {"remedy", remedy(each)}});
+    }
+    const std::size_t count = failure.faults.size();
+    report.message += std::to_string(count) + (count == 1 ? " fault" : " faults");
+    report.details["faults"] = std::move(list);
+    return report;
+}
+
+failure_report report_of(const edit_conflict& failure)
+{
+    failure_report report{.code = exit_code::conflict, .kind = "conflict"};
+    report.message =
+        "Conflict: generation " + std::to_string(failure.in_force.value) + " is in force";
+    if (!failure.author.empty())
+    {
+        report.message += ", submitted by " + failure.author;
+    }
+    report.message += ". These objects were changed there and in this edit:\n";
+    json::array objects;
+    for (const object_path& each : failure.objects)
+    {
+        const std::string pointer = to_pointer(each);
+        report.message += "  " + pointer + '\n';
+        objects.emplace_back(pointer);
+    }
+    report.message += "Nothing was published. Look at `kumquatpath show` and edit again.";
+    report.details["objects"] = std::move(objects);
+    report.details["generation"] = failure.in_force.value;
+    return report;
+}
+
+failure_report report_of(const too_many_epochs& failure)
+{
+    return {.kind = "too_many_epochs",
+            .message = "The targets of service \"" + failure.service +
+                       "\" changed too often: flows may rest on all of its past sets of "
+                       "targets.\nNothing was published. It can be done after " +
+                       to_utc(failure.free_at) + ".",
+            .details = {{"service", failure.service},
+                        {"free_at_ms", failure.free_at.time_since_epoch().count()}}};
+}
+
+failure_report report_of(const base_required& failure)
+{
+    const std::string generation = std::to_string(failure.in_force.value);
+    return {.kind = "base_required",
+            .message = "Generation " + generation +
+                       " is in force, and the file does not say which generation it was "
+                       "edited from.\nNothing was published. Look at `kumquatpath diff "
+                       "FILE`; if it shows what you want, add --base " +
+                       generation + '.',
+            .details = {{"generation", failure.in_force.value}}};
+}
+
+failure_report report_of(const unknown_object& failure)
+{
+    std::string message =
+        "There is no " + failure.kind + " called \"" + failure.name + "\".";
+    if (!failure.suggestion.empty())
+    {
+        message += " Did you mean \"" + failure.suggestion + "\"?";
+    }
+    return {.kind = "unknown_object",
+            .message = std::move(message),
+            .details = {{"name", failure.name}, {"suggestion", failure.suggestion}}};
+}
+
+failure_report report_of(const unknown_generation& failure)
+{
+    return {.kind = "unknown_generation",
+            .message = "Generation " + std::to_string(failure.generation.value) +
+                       " is not known. `kumquatpath history` lists those that are."};
+}
+
+failure_report report_of(const nothing_in_force&)
+{
+    return {.kind = "nothing_in_force",
+            .message = "There is no configuration yet. Submit one with `kumquatpath "
+                       "apply FILE`."};
+}
+
+failure_report report_of(const unreadable_file& failure)
+{
+    return {.code = exit_code::usage,
+            .kind = "unreadable_file",
+            .message = "The file \"" + failure.name + "\" can't be read."};
+}
+
+failure_report report_of(const usage_fault& failure)
+{
+    std::string message = failure.reason;
+    if (!failure.argument.empty())
+    {
+        message = failure.argument + ": " + message;
+    }
+    return {.code = exit_code::usage,
+            .kind = "usage",
+            .message = message + "\n`kumquatpath --help` tells more."};
+}
+
+failure_report report_of(const outcome_unknown& failure)
+{
+    return {.code = exit_code::outcome_unknown,
+            .kind = "outcome_unknown",
+            .message = "Outcome unknown: the platform went away in the middle of the "
+                       "write.\nWhen it is back, look for submission " +
+                       failure.submission + " in `kumquatpath history`.",
+            .details = {{"submission", failure.submission}}};
+}
+
+failure_report report_of(const too_many_attempts& failure)
+{
+    return {.code = exit_code::conflict,
+            .kind = "too_many_attempts",
+            .message = "Others published " + std::to_string(failure.attempts) +
+                       " times in a row at the same moment. Nothing was published; try "
+                       "again."};
+}
+
+failure_report platform_away(std::string kind, const std::string& reason)
+{
+    return {.code = exit_code::platform_away,
+            .kind = std::move(kind),
+            .message = reason +
+                       " Nothing was changed: the edit is not accepted, and what "
+                       "is in force stays in force."};
+}
+
+failure_report report_of(const store_unreachable&)
+{
+    return platform_away("store_unreachable", "The platform can't be reached.");
+}
+
+failure_report report_of(const store_timeout&)
+{
+    return platform_away("store_timeout", "The platform does not answer in time.");
+}
+
+failure_report report_of(const store_malformed_answer& failure)
+{
+    return platform_away("store_malformed_answer",
+                         "The platform's answer is not understood (status " +
+                             std::to_string(failure.status) + ").");
+}
+
+} // namespace
+
+exit_code run_and_tell(const std::function<boost::leaf::result<exit_code>()>& action,
+                       const failure_output& output)
+{
+    const auto told = [&output](const auto& failure)
+    {
+        return tell(output, report_of(failure));
+    };
+    return boost::leaf::try_handle_all(
+        action,
+        [&](const help_wanted& help)
+        {
+            output.out << help_text(help.verb);
+            return exit_code::success;
+        },
+        [&](const configuration_faults& failure) { return told(failure); },
+        [&](const edit_conflict& failure) { return told(failure); },
+        [&](const too_many_epochs& failure) { return told(failure); },
+        [&](const base_required& failure) { return told(failure); },
+        [&](const unknown_object& failure) { return told(failure); },
+        [&](const unknown_generation& failure) { return told(failure); },
+        [&](const nothing_in_force& failure) { return told(failure); },
+        [&](const unreadable_file& failure) { return told(failure); },
+        [&](const usage_fault& failure) { return told(failure); },
+        [&](const outcome_unknown& failure) { return told(failure); },
+        [&](const too_many_attempts& failure) { return told(failure); },
+        [&](const store_unreachable& failure) { return told(failure); },
+        [&](const store_timeout& failure) { return told(failure); },
+        [&](const store_malformed_answer& failure) { return told(failure); },
+        [&]
+        {
+            return tell(output, {.kind = "unexpected",
+                                 .message = "An unexpected failure; nothing is known of "
+                                            "its cause."});
+        });
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/client/main.cpp
@@ -0,0 +1,28 @@
+/// \file
+/// kumquatpath: the operators' client.
+
+#include "client/client.hpp"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace
+{
+
+std::string environment_value(const char* name)
+{
+    const char* const value = std::getenv(name);
+    return value == nullptr ? "" : value;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const kumquatpath::command_environment environment{
+        .platform = environment_value("KUMQUATPATH_PLATFORM"),
+        .user = environment_value("USER")};
+    return static_cast<int>(
+        kumquatpath::run_client(arguments, environment, std::cout, std::cerr));
+}
--- /dev/null
+++ b/src/client/publication.cpp
@@ -0,0 +1,294 @@
+#include "client/publication.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <iomanip>
+#include <sstream>
+#include <utility>
+
+namespace kumquatpath
+{
+namespace
+{
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+/// How often a lost race or a lost answer is followed by another attempt.
+constexpr std::size_t most_attempts = 8;
+
+/// What came of one write.
+enum class write_outcome
+{
+    done,
+    conflict,
+    answer_lost,
+};
+
+/// Writes, and tells the outcomes apart that publish() goes on after.
+leaf::result<write_outcome> try_write(key_value_store& store,
+                                      const write_options& options)
+{
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<write_outcome>
+        {
+            BOOST_LEAF_CHECK(store.write(options));
+            return write_outcome::done;
+        },
+        [](const store_conflict&) -> leaf::result<write_outcome>
+        { return write_outcome::conflict; },
+        [](const store_timeout&) -> leaf::result<write_outcome>
+        { return write_outcome::answer_lost; },
+        [](const store_malformed_answer&) -> leaf::result<write_outcome>
+        { return write_outcome::answer_lost; });
+}
+
+/// Copies the configuration in force into the history. Nothing but what was in force is
+/// ever written there, so writing it twice is harmless.
+leaf::result<void> archive(key_value_store& store, const configuration_envelope& current)
+{
+    BOOST_LEAF_AUTO(text, write_envelope(current));
+    for (std::size_t attempt = 0; attempt < most_attempts; ++attempt)
+    {
+        BOOST_LEAF_AUTO(outcome, try_write(store, {.key = history_key(current.generation),
+                                                   .value = text}));
+        if (outcome != write_outcome::answer_lost)
+        {
+            return {};
+        }
+    }
+    return leaf::new_error(store_timeout{});
+}
+
+/// Removes the generation that has left the history. A failure leaves one value too many,
+/// so it is passed over.
+void prune(key_value_store& store, generation published)
+{
+    if (published.value <= kept_generations)
+    {
+        return;
+    }
+    const std::string key = history_key({published.value - kept_generations});
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(value, store.read(key));
+            return store.erase(key, value.revision);
+        },
+        [] {});
+}
+
+/// A write whose answer was lost.
+struct lost_write
+{
+    kumquatpath::generation generation;
+    revision expected;
+};
+
+/// One run of publish().
+class publisher
+{
+public:
+    publisher(key_value_store& store, const edit_options& edit, wall_time now)
+        : store_(store), edit_(edit), now_(now)
+    {
+    }
+
+    leaf::result<publication> run()
+    {
+        for (std::size_t attempt = 0; attempt < most_attempts; ++attempt)
+        {
+            BOOST_LEAF_AUTO(done, attempt_once());
+            if (done)
+            {
+                return *done;
+            }
+        }
+        if (lost_)
+        {
+            return leaf::new_error(outcome_unknown{edit_.submission});
+        }
+        return leaf::new_error(too_many_attempts{most_attempts});
+    }
+
+    /// Returns whether a write whose answer was lost may still take effect.
+    bool write_is_pending() const
+    {
+        return lost_.has_value();
+    }
+
+private:
+    using step = leaf::result<std::optional<publication>>;
+
+    /// Reads, merges and writes once. Returns nothing when another attempt is due.
+    step attempt_once()
+    {
+        BOOST_LEAF_AUTO(current, read_current(store_));
+        if (lost_)
+        {
+            BOOST_LEAF_AUTO(found, read_back(current));
+            if (found)
+            {
+                return found;
+            }
+        }
+        BOOST_LEAF_AUTO(document, merged_with(current));
+        if (current && document == current->envelope.document)
+        {
+            return std::optional(
+                publication{.published = current->envelope.generation, .is_new = false});
+        }
+        const configuration_envelope* const previous =
+            current ? &current->envelope : nullptr;
+        BOOST_LEAF_AUTO(next, next_envelope(previous,
+                                            {.document = std::move(document),
+                                             .submission = edit_.submission,
+                                             .author = edit_.author},
+                                            now_));
+        return write(current, next);
+    }
+
+    leaf::result<json::value>
+    merged_with(const std::optional<current_configuration>& current)
+    {
+        if (!current)
+        {
+            return edit_.edited;
+        }
+        was_merged_ = !(current->envelope.document == edit_.base);
+        return leaf::try_handle_some(
+            [&] {
+                return merge_documents(edit_.base, edit_.edited,
+                                       current->envelope.document);
+            },
+            [&](merge_conflict& conflict) -> leaf::result<json::value>
+            {
+                return leaf::new_error(
+                    edit_conflict{.in_force = current->envelope.generation,
+                                  .author = current->envelope.author,
+                                  .objects = std::move(conflict.objects)});
+            });
+    }
+
+    step write(const std::optional<current_configuration>& current,
+               const configuration_envelope& next)
+    {
+        if (current)
+        {
+            BOOST_LEAF_CHECK(archive(store_, current->envelope));
+        }
+        BOOST_LEAF_AUTO(text, write_envelope(next));
+        BOOST_LEAF_AUTO(
+            outcome,
+            try_write(store_, {.key = std::string(configuration_key),
+                               .value = std::move(text),
+                               .expected = current ? current->revision : revision{}}));
+        if (outcome == write_outcome::answer_lost)
+        {
+            lost_ = lost_write{.generation = next.generation,
+                               .expected = current ? current->revision : revision{}};
+        }
+        if (outcome != write_outcome::done)
+        {
+            return std::optional<publication>();
+        }
+        return published(next.generation, false);
+    }
+
+    std::optional<publication> published(generation number, bool was_read_back)
+    {
+        prune(store_, number);
+        return publication{.published = number,
+                           .was_merged = was_merged_,
+                           .was_read_back = was_read_back};
+    }
+
+    /// Finds out whether the write whose answer was lost took effect.
+    step read_back(const std::optional<current_configuration>& current)
+    {
+        const revision present = current ? current->revision : revision{};
+        if (present == lost_->expected)
+        {
+            // The write has not taken effect, but may still be on its way. The next
+            // attempt expects the same revision, so at most one of the two does.
+            return std::optional<publication>();
+        }
+        const lost_write lost = *lost_;
+        BOOST_LEAF_AUTO(envelope, read_generation(store_, current, lost.generation));
+        if (envelope.submission == edit_.submission)
+        {
+            return published(lost.generation, true);
+        }
+        // Somebody else has taken the revision that the write needed, so it never will.
+        lost_.reset();
+        return std::optional<publication>();
+    }
+
+    key_value_store& store_;
+    const edit_options& edit_;
+    wall_time now_;
+    bool was_merged_ = false;
+    /// The last write whose answer was lost and that may still take effect.
+    std::optional<lost_write> lost_;
+};
+
+} // namespace
+
+std::string history_key(generation number)
+{
+    constexpr int digits = 12;
+    std::ostringstream key;
+    key << "kumquatpath/history/" << std::setw(digits) << std::setfill('0')
+        << number.value;
+    return key.str();
+}
+
+leaf::result<std::optional<current_configuration>> read_current(key_value_store& store)
+{
+    using current = std::optional<current_configuration>;
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<current>
+        {
+            BOOST_LEAF_AUTO(stored, store.read(configuration_key));
+            BOOST_LEAF_AUTO(envelope, parse_envelope(stored.value));
+            return current(current_configuration{std::move(envelope), stored.revision});
+        },
+        [](const store_not_found&) -> leaf::result<current> { return current(); });
+}
+
+leaf::result<configuration_envelope>
+read_generation(key_value_store& store,
+                const std::optional<current_configuration>& current, generation wanted)
+{
+    if (current && current->envelope.generation == wanted)
+    {
+        return current->envelope;
+    }
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<configuration_envelope>
+        {
+            BOOST_LEAF_AUTO(stored, store.read(history_key(wanted)));
+            return parse_envelope(stored.value);
+        },
+        [&](const store_not_found&) -> leaf::result<configuration_envelope>
+        { return leaf::new_error(unknown_generation{wanted}); });
+}
+
+leaf::result<publication> publish(key_value_store& store, const edit_options& edit,
+                                  wall_time now)
+{
+    publisher run(store, edit, now);
+    return leaf::try_handle_some(
+        [&] { return run.run(); },
+        [&](const leaf::error_info& failure) -> leaf::result<publication>
+        {
+            // Whatever stopped the attempts, a write may still be on its way.
+            if (run.write_is_pending())
+            {
+                return leaf::new_error(outcome_unknown{edit.submission});
+            }
+            return failure.error();
+        });
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/client/verb_table.cpp
@@ -0,0 +1,277 @@
+#include "client/verb_table.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <sstream>
+
+namespace kumquatpath
+{
+namespace
+{
+
+template <class... Arguments>
+constexpr std::uint32_t takes(Arguments... arguments)
+{
+    return (0U | ... | static_cast<std::uint32_t>(arguments));
+}
+
+constexpr std::array entries = {
+    verb_entry{
+        .verb = verb::apply,
+        .word = "apply",
+        .is_command = true,
+        .arguments =
+            takes(argument::file, argument::base, argument::wait, argument::author),
+        .synopsis = "apply FILE [--base GENERATION] [--wait] [--timeout SECONDS]",
+        .summary = "submit a whole configuration",
+        .help =
+            R"(Checks FILE as a whole and publishes it as a new generation. "-" reads the standard
+input. Nothing is published if the check finds a fault.
+
+A file that came from `kumquatpath show` names the generation that it was edited from.
+For any other file, --base names it: look at `kumquatpath diff FILE`, then give the
+generation that the diff was made against. Changes that others made since are kept if
+they are to other objects; otherwise the command ends with 4 and names the objects.
+The first configuration of all needs no base.
+
+If the platform's answer is lost, the client reads back whether its submission took
+effect, and says so.
+
+  --base GENERATION  the generation that FILE was edited from
+  --wait             wait until every instance that can be reached has it in force
+  --timeout SECONDS  how long --wait lasts (60)
+  --author NAME      who submits it ($USER)
+
+Examples:
+  kumquatpath show > site.json
+  (edit site.json)
+  kumquatpath diff site.json
+  kumquatpath apply site.json --wait
+)"},
+    verb_entry{
+        .verb = verb::drain,
+        .word = "drain",
+        .is_command = true,
+        .arguments = takes(argument::object, argument::wait, argument::author),
+        .synopsis = "drain KIND NAME [--wait] [--timeout SECONDS]",
+        .summary = "withdraw a target, an instance or a data centre",
+        .help =
+            R"(Publishes a new generation in which the object takes no new flows; open flows go on to
+their end. KIND is target, instance or data-centre. `kumquatpath status` shows what the
+drain still waits for. It is refused when a service would be left without a target.
+
+  --wait             wait until every instance that can be reached has it in force
+  --timeout SECONDS  how long --wait lasts (60)
+  --author NAME      who submits it ($USER)
+
+Examples:
+  kumquatpath drain target catalogue-3
+  kumquatpath drain data-centre nairobi-b --wait
+)"},
+    verb_entry{
+        .verb = verb::undrain,
+        .word = "undrain",
+        .is_command = true,
+        .arguments = takes(argument::object, argument::wait, argument::author),
+        .synopsis = "undrain KIND NAME [--wait] [--timeout SECONDS]",
+        .summary = "let a drained object take new flows again",
+        .help =
+            R"(Publishes a new generation in which the object takes new flows. KIND is target,
+instance or data-centre.
+
+  --wait             wait until every instance that can be reached has it in force
+  --timeout SECONDS  how long --wait lasts (60)
+  --author NAME      who submits it ($USER)
+
+Examples:
+  kumquatpath undrain data-centre nairobi-b --wait
+)"},
+    verb_entry{
+        .verb = verb::rollback,
+        .word = "rollback",
+        .is_command = true,
+        .arguments = takes(argument::past_generation, argument::wait, argument::author),
+        .synopsis = "rollback GENERATION [--wait] [--timeout SECONDS]",
+        .summary = "submit an earlier configuration again",
+        .help =
+            R"(Publishes the content of an earlier generation as a new one; the generation never goes
+back. `kumquatpath history` lists the generations that can be had.
+
+  --wait             wait until every instance that can be reached has it in force
+  --timeout SECONDS  how long --wait lasts (60)
+  --author NAME      who submits it ($USER)
+
+Examples:
+  kumquatpath history
+  kumquatpath rollback 41 --wait
+)"},
+    verb_entry{
+        .verb = verb::check,
+        .word = "check",
+        .arguments = takes(argument::file),
+        .synopsis = "check FILE",
+        .summary = "list every fault in a document; needs no platform",
+        .help =
+            R"(Reads FILE and lists every fault with its place, as a JSON pointer, and what would
+mend it. Ends with 0 if there is none and 1 otherwise. It needs no platform.
+
+Examples:
+  kumquatpath check site.json
+  kumquatpath check site.json --json
+)"},
+    verb_entry{
+        .verb = verb::show,
+        .word = "show",
+        .arguments = takes(argument::optional_generation),
+        .synopsis = "show [--generation GENERATION]",
+        .summary = "print the configuration in force",
+        .help =
+            R"(Prints the document that is in force, or that of an earlier generation. The key
+"edited_from" in it names the generation, so that `apply` knows what an edit started
+from.
+
+  --generation GENERATION  an earlier one, from the history
+
+Examples:
+  kumquatpath show > site.json
+  kumquatpath show --generation 41
+)"},
+    verb_entry{
+        .verb = verb::diff,
+        .word = "diff",
+        .arguments = takes(argument::file),
+        .synopsis = "diff FILE",
+        .summary = "show how a document differs from what is in force",
+        .help =
+            R"(Lists the objects that FILE adds (+), removes (-) or changes (~) against the
+configuration in force, and names its generation.
+
+Examples:
+  kumquatpath diff site.json
+)"},
+    verb_entry{.verb = verb::history,
+               .word = "history",
+               .arguments = takes(argument::last),
+               .synopsis = "history [--last COUNT]",
+               .summary = "list the generations, newest first",
+               .help =
+                   R"(Lists each generation with its time, its author and what it changed.
+
+  --last COUNT  how many to list (20)
+
+Examples:
+  kumquatpath history
+  kumquatpath history --last 5 --json
+)"},
+    verb_entry{
+        .verb = verb::status,
+        .word = "status",
+        .synopsis = "status",
+        .summary = "show what is in force where, members and drains",
+        .help =
+            R"(Asks every instance on the platform's list for the generation that it has in force,
+the members that it sees, and the drains in progress with what each still waits for.
+Ends with 1 if an instance is behind or can't be reached.
+
+Examples:
+  kumquatpath status
+  kumquatpath status --json
+)"},
+    verb_entry{
+        .verb = verb::metrics,
+        .word = "metrics",
+        .synopsis = "metrics",
+        .summary = "show answer times by service and class, and counters",
+        .help =
+            R"(Adds up the histograms and counters of every instance that can be reached and shows
+them as bars and quantiles, by service and class.
+
+Examples:
+  kumquatpath metrics
+  kumquatpath metrics --json
+)"},
+};
+
+constexpr std::string_view common_help = R"(
+Options of all commands and queries:
+  --platform ip:port  the platform's address; also $KUMQUATPATH_PLATFORM
+  --json              print JSON
+  --help              help on one command: kumquatpath apply --help
+
+Exit codes:
+  0  done
+  1  refused: the document has faults, or the request can't be met
+  2  the command line is not understood
+  3  the platform was not reached; nothing was changed
+  4  conflict: somebody else changed the same objects, which are named
+  5  outcome unknown: the platform went away in the middle of a write
+)";
+
+constexpr std::string_view first_night = R"(
+First time here? These change nothing:
+  kumquatpath status               is every instance there and up to date?
+  kumquatpath metrics              how fast are answers, what is refused?
+  kumquatpath history              who changed what, and when?
+To change something:
+  kumquatpath show > site.json     take the configuration in force
+  kumquatpath check site.json      after editing: is it right?
+  kumquatpath diff site.json       what would change?
+  kumquatpath apply site.json --wait
+To take it back:
+  kumquatpath rollback GENERATION --wait
+)";
+
+void list(std::ostream& out, bool commands)
+{
+    constexpr int width = 12;
+    for (const verb_entry& each : entries)
+    {
+        if (each.is_command == commands)
+        {
+            out << "  " << std::left << std::setw(width) << each.word << each.summary
+                << '\n';
+        }
+    }
+}
+
+std::string overview()
+{
+    std::ostringstream out;
+    out << "kumquatpath: the operators' client of the kumquatpath load balancer\n\n"
+           "Usage: kumquatpath COMMAND|QUERY [arguments] [options]\n\n"
+           "Commands (they change the configuration):\n";
+    list(out, true);
+    out << "\nQueries (they change nothing):\n";
+    list(out, false);
+    out << first_night << common_help;
+    return out.str();
+}
+
+} // namespace
+
+std::span<const verb_entry> verb_entries()
+{
+    return entries;
+}
+
+const verb_entry* find_verb_entry(std::string_view word)
+{
+    const auto* const found = std::ranges::find(entries, word, &verb_entry::word);
+    return found == entries.end() ? nullptr : found;
+}
+
+std::string help_text(const std::optional<verb>& wanted)
+{
+    if (!wanted)
+    {
+        return overview();
+    }
+    const auto* const found = std::ranges::find(entries, *wanted, &verb_entry::verb);
+    std::ostringstream out;
+    out << "Usage: kumquatpath " << found->synopsis << "\n\n"
+        << found->help << common_help;
+    return out.str();
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/client/verb_table.hpp
@@ -0,0 +1,55 @@
+#ifndef KUMQUATPATH_CLIENT_VERB_TABLE_HPP
+#define KUMQUATPATH_CLIENT_VERB_TABLE_HPP
+
+/// \file
+/// The table of the client's commands and queries: their words, arguments and help.
+
+#include "client/command_line.hpp"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace kumquatpath
+{
+
+/// The arguments that a verb may take beside the common ones; they combine as bits.
+enum class argument : std::uint32_t
+{
+    file = 1U << 0U,
+    object = 1U << 1U,
+    past_generation = 1U << 2U,
+    optional_generation = 1U << 3U,
+    base = 1U << 4U,
+    wait = 1U << 5U,
+    author = 1U << 6U,
+    last = 1U << 7U,
+};
+
+/// One line of the table.
+struct verb_entry
+{
+    kumquatpath::verb verb;
+    std::string_view word;
+    bool is_command = false;
+    std::uint32_t arguments = 0;
+    std::string_view synopsis;
+    std::string_view summary;
+    std::string_view help;
+
+    /// Returns whether the verb takes \p which.
+    constexpr bool takes(argument which) const
+    {
+        return (arguments & static_cast<std::uint32_t>(which)) != 0;
+    }
+};
+
+/// Returns every verb, commands first.
+std::span<const verb_entry> verb_entries();
+
+/// Returns the entry for \p word, or null.
+const verb_entry* find_verb_entry(std::string_view word);
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/client/wall_clock.hpp
@@ -0,0 +1,19 @@
+#ifndef KUMQUATPATH_CLIENT_WALL_CLOCK_HPP
+#define KUMQUATPATH_CLIENT_WALL_CLOCK_HPP
+
+/// \file
+/// Wall-clock times for people.
+
+#include <kumquatpath/model/time.hpp>
+
+#include <string>
+
+namespace kumquatpath
+{
+
+/// Writes \p time as "YYYY-MM-DD HH:MM:SS UTC".
+std::string to_utc(wall_time time);
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/model/configuration_fault.cpp
@@ -0,0 +1,129 @@
+#include <kumquatpath/model/configuration_fault.hpp>
+
+#include <array>
+
+namespace kumquatpath
+{
+namespace
+{
+
+using kind = configuration_fault_kind;
+
+/// The texts of one kind. In a text, $name and $expected stand for the fault's fields.
+struct fault_text
+{
+    configuration_fault_kind kind;
+    std::string_view name;
+    std::string_view description;
+    std::string_view remedy;
+    /// The remedy when nothing is known to put in place of $expected.
+    std::string_view remedy_without_expected;
+};
+
+constexpr std::array fault_texts = {
+    fault_text{kind::syntax, "syntax", "The text is not JSON: $name at byte $offset.",
+               "Mend the JSON just before byte $offset.", ""},
+    fault_text{kind::too_large, "too_large", "The size of $name bytes is over the bound.",
+               "Bring it to at most $most bytes.", ""},
+    fault_text{kind::duplicate_key, "duplicate_key",
+               "The key \"$name\" stands twice in one object.",
+               "Remove or rename one of the two.", ""},
+    fault_text{kind::unknown_key, "unknown_key", "The key \"$name\" is not known here.",
+               "Did you mean \"$expected\"?", "Remove the key."},
+    fault_text{kind::missing_key, "missing_key", "The key \"$name\" is missing.",
+               "Add \"$name\": $expected.", "Add the key."},
+    fault_text{kind::wrong_type, "wrong_type", "The value is $name.",
+               "Write $expected in its place.", ""},
+    fault_text{kind::out_of_range, "out_of_range", "The number $name is out of range.",
+               "Choose a number from $least to $most.", ""},
+    fault_text{kind::unknown_word, "unknown_word",
+               "The word \"$name\" is not known here.", "Write $expected.", ""},
+    fault_text{kind::malformed_address, "malformed_address",
+               "\"$name\" is not an IPv4 address with a port.",
+               "Write it like \"127.0.0.1:9000\".", ""},
+    fault_text{kind::malformed_name, "malformed_name",
+               "The name \"$name\" is not allowed.",
+               "Use 1 to $most characters of a-z, A-Z, 0-9, '.', '_' and '-'.", ""},
+    fault_text{kind::unknown_reference, "unknown_reference",
+               "\"$name\" refers to nothing.", "Did you mean \"$expected\"?",
+               "Add the object, or name one that exists."},
+    fault_text{kind::duplicate_address, "duplicate_address",
+               "The address $name is taken by $expected.", "Choose another address.", ""},
+    fault_text{kind::duplicate_id, "duplicate_id",
+               "The number $name is taken by $expected.", "Choose another number.", ""},
+    fault_text{kind::duplicate_name, "duplicate_name",
+               "The name \"$name\" is taken by $expected.",
+               "Rename one of the two: target names are unique in the whole document.",
+               ""},
+    fault_text{kind::name_collision, "name_collision",
+               "The names \"$name\" and \"$expected\" lead to the same id.",
+               "Rename one of the two.", ""},
+    fault_text{kind::empty_pool, "empty_pool", "The pool \"$name\" has no targets.",
+               "Add a target, or remove the pool.", ""},
+    fault_text{kind::no_active_target, "no_active_target",
+               "The service \"$name\" has no target that takes new flows.",
+               "Undrain a target of the pool \"$expected\" or its data centre.", ""},
+};
+
+const fault_text& text_of(configuration_fault_kind wanted) noexcept
+{
+    return fault_texts[static_cast<std::size_t>(wanted)];
+}
+
+constexpr bool in_order_of_kinds()
+{
+    for (std::size_t i = 0; i < fault_texts.size(); ++i)
+    {
+        if (static_cast<std::size_t>(fault_texts[i].kind) != i)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+static_assert(in_order_of_kinds(), "fault_texts is indexed by kind");
+
+void replace(std::string& text, std::string_view field, const std::string& value)
+{
+    const auto place = text.find(field);
+    if (place != std::string::npos)
+    {
+        text.replace(place, field.size(), value);
+    }
+}
+
+std::string filled(std::string_view form, const configuration_fault& fault)
+{
+    std::string text(form);
+    replace(text, "$offset", std::to_string(fault.offset));
+    replace(text, "$least", std::to_string(fault.least));
+    replace(text, "$most", std::to_string(fault.most));
+    // Free text goes in last, so that nothing in it is taken for a field.
+    const auto expected_first = text.find("$expected") < text.find("$name");
+    replace(text, expected_first ? "$name" : "$expected",
+            expected_first ? fault.name : fault.expected);
+    replace(text, expected_first ? "$expected" : "$name",
+            expected_first ? fault.expected : fault.name);
+    return text;
+}
+
+} // namespace
+
+std::string_view to_string(configuration_fault_kind kind) noexcept
+{
+    return text_of(kind).name;
+}
+
+std::string description(const configuration_fault& fault)
+{
+    return filled(text_of(fault.kind).description, fault);
+}
+
+std::string remedy(const configuration_fault& fault)
+{
+    const fault_text& text = text_of(fault.kind);
+    const bool unknown = fault.expected.empty() && !text.remedy_without_expected.empty();
+    return filled(unknown ? text.remedy_without_expected : text.remedy, fault);
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/model/json_parse.cpp
@@ -0,0 +1,188 @@
+/// \file
+/// Reading of JSON with its duplicate keys, which the library itself lets pass.
+
+#include "model/json_parse.hpp"
+
+#include "model/json_pointer.hpp"
+
+#include <kumquatpath/model/configuration_check.hpp>
+
+#include <boost/json/basic_parser_impl.hpp>
+#include <boost/json/parse.hpp>
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace kumquatpath
+{
+namespace
+{
+
+namespace json = boost::json;
+
+/// Receives the events of the parser and notes every key that its object already holds.
+class duplicate_key_finder
+{
+public:
+    // The parser asks for these constants by name.
+    static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
+    static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
+
+    fault_list faults;
+
+    bool on_document_begin(json::error_code&)
+    {
+        return true;
+    }
+    bool on_document_end(json::error_code&)
+    {
+        return true;
+    }
+    bool on_object_begin(json::error_code&)
+    {
+        levels_.push_back({.is_object = true});
+        return true;
+    }
+    bool on_object_end(std::size_t, json::error_code&)
+    {
+        levels_.pop_back();
+        return end_of_value();
+    }
+    bool on_array_begin(json::error_code&)
+    {
+        levels_.push_back({.is_object = false});
+        return true;
+    }
+    bool on_array_end(std::size_t, json::error_code&)
+    {
+        levels_.pop_back();
+        return end_of_value();
+    }
+    bool on_key_part(json::string_view part, std::size_t, json::error_code&)
+    {
+        key_.append(part.data(), part.size());
+        return true;
+    }
+    bool on_key(json::string_view part, std::size_t, json::error_code&)
+    {
+        key_.append(part.data(), part.size());
+        level& inner = levels_.back();
+        inner.key = std::exchange(key_, {});
+        if (!inner.keys.insert(inner.key).second)
+        {
+            faults.push_back({.kind = configuration_fault_kind::duplicate_key,
+                              .pointer = pointer(),
+                              .name = inner.key});
+        }
+        return true;
+    }
+    bool on_string_part(json::string_view, std::size_t, json::error_code&)
+    {
+        return true;
+    }
+    bool on_string(json::string_view, std::size_t, json::error_code&)
+    {
+        return end_of_value();
+    }
+    bool on_number_part(json::string_view, json::error_code&)
+    {
+        return true;
+    }
+    bool on_int64(std::int64_t, json::string_view, json::error_code&)
+    {
+        return end_of_value();
+    }
+    bool on_uint64(std::uint64_t, json::string_view, json::error_code&)
+    {
+        return end_of_value();
+    }
+    bool on_double(double, json::string_view, json::error_code&)
+    {
+        return end_of_value();
+    }
+    bool on_bool(bool, json::error_code&)
+    {
+        return end_of_value();
+    }
+    bool on_null(json::error_code&)
+    {
+        return end_of_value();
+    }
+    bool on_comment_part(json::string_view, json::error_code&)
+    {
+        return true;
+    }
+    bool on_comment(json::string_view, json::error_code&)
+    {
+        return true;
+    }
+
+private:
+    /// One object or array that is open.
+    struct level
+    {
+        bool is_object = false;
+        std::string key;
+        std::set<std::string, std::less<>> keys;
+        std::size_t index = 0;
+    };
+
+    bool end_of_value()
+    {
+        if (!levels_.empty())
+        {
+            ++levels_.back().index;
+        }
+        return true;
+    }
+
+    std::string pointer() const
+    {
+        std::string path;
+        for (const level& each : levels_)
+        {
+            path = child_pointer(path,
+                                 each.is_object ? each.key : std::to_string(each.index));
+        }
+        return path;
+    }
+
+    std::vector<level> levels_;
+    std::string key_;
+};
+
+} // namespace
+
+std::optional<json::value> parse_json(std::string_view text, fault_list& faults)
+{
+    if (text.size() > largest_document_text)
+    {
+        faults.push_back({.kind = configuration_fault_kind::too_large,
+                          .name = std::to_string(text.size()),
+                          .most = largest_document_text});
+        return std::nullopt;
+    }
+    json::basic_parser<duplicate_key_finder> events({});
+    json::error_code error;
+    const std::size_t offset = events.write_some(false, text.data(), text.size(), error);
+    if (!error && offset < text.size())
+    {
+        error = json::error::extra_data;
+    }
+    if (error)
+    {
+        faults.push_back({.kind = configuration_fault_kind::syntax,
+                          .name = error.message(),
+                          .offset = offset});
+        return std::nullopt;
+    }
+    const fault_list& duplicates = events.handler().faults;
+    faults.insert(faults.end(), duplicates.begin(), duplicates.end());
+    return json::parse(json::string_view(text.data(), text.size()));
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/test/support/documents.hpp
@@ -0,0 +1,71 @@
+#ifndef KUMQUATPATH_TEST_SUPPORT_DOCUMENTS_HPP
+#define KUMQUATPATH_TEST_SUPPORT_DOCUMENTS_HPP
+
+/// \file
+/// Documents for tests, and what a check says of them.
+
+#include <kumquatpath/model/configuration_check.hpp>
+
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <fstream>
+#include <iterator>
+#include <string>
+
+namespace kumquatpath::test
+{
+
+/// Returns a right document: two targets in two data centres, one service, one listener.
+inline boost::json::value small_document()
+{
+    return boost::json::parse(R"({"format":1,
+        "data_centres":{"a":{"region":"r"},"b":{"region":"r"}},
+        "pools":{"p":{"targets":{"t1":{"address":"127.0.0.1:9001","data_centre":"a"},
+                                 "t2":{"address":"127.0.0.1:9002","data_centre":"b"}}}},
+        "services":{"s":{"pool":"p","flow_lifetime_s":100}},
+        "listeners":{"l":{"address":"127.0.0.1:7001","kind":"datagram","service":"s"}},
+        "tenants":{"n":{"id":1}},
+        "classes":{"c":{"id":1}}})");
+}
+
+/// Returns the value at a path of keys, for a test to change; what is absent is added.
+template <class... Keys>
+boost::json::value& at(boost::json::value& document, Keys... keys)
+{
+    boost::json::value* value = &document;
+    const auto step = [&value](const char* key)
+    {
+        value =
+            &(value->is_object() ? value->get_object() : value->emplace_object())[key];
+    };
+    (step(keys), ...);
+    return *value;
+}
+
+/// Returns the text of the file \p name of the samples.
+inline std::string sample(const std::string& name)
+{
+    std::ifstream file(std::string(KUMQUATPATH_SAMPLES) + '/' + name);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// Returns the faults that \p action fails with; none when it succeeds.
+template <class Action>
+fault_list faults_of(const Action& action)
+{
+    fault_list found;
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_CHECK(action());
+            return {};
+        },
+        [&](configuration_faults& failure) { found = std::move(failure.faults); }, [] {});
+    return found;
+}
+
+} // namespace kumquatpath::test
+
+#endif
