Serve a request from a caller through the fabric to a target and back

Cause: the parts did not make a system yet. Submissions are not claimed yet, so at-most-once rests on a calm fabric in this version.

--- a/include/kumquatpath/decision/flow_router.hpp
+++ b/include/kumquatpath/decision/flow_router.hpp
@@ -90,7 +90,7 @@
 };
 
 /// Allows a rate of units, and a burst of one second's worth.
-struct token_bucket
+struct send_allowance
 {
     double rate = 0;
     double tokens = 0;
@@ -149,8 +149,8 @@
     std::deque<remembered_open> opens;
     std::vector<std::pair<instance_id, std::uint16_t>> requests;
     std::deque<queued_listing> outbox;
-    token_bucket hint_budget;
-    token_bucket hand_over_budget;
+    send_allowance hint_budget;
+    send_allowance hand_over_budget;
     flow_router_counts counts;
 };
 
--- a/include/kumquatpath/decision/inflight_table.hpp
+++ b/include/kumquatpath/decision/inflight_table.hpp
@@ -8,6 +8,7 @@
 /// remembered: it is still served, but its answer is not measured. A request whose
 /// deadline passes is taken out as timed out.
 
+#include <kumquatpath/decision/admission.hpp>
 #include <kumquatpath/model/packet.hpp>
 #include <kumquatpath/model/time.hpp>
 
@@ -26,9 +27,10 @@
     time_point sent_at{};
     time_point expires_at{};
     service_id service;
-    target_id target;
     tenant_id tenant;
     class_id traffic_class;
+    /// What the request occupies at admission control until it ends.
+    admitted_work work;
     /// Fragments of the answer that are still to come; 0 until the first one told.
     std::uint32_t fragments_left = 0;
     bool is_used = false;
--- a/include/kumquatpath/decision/instance.hpp
+++ b/include/kumquatpath/decision/instance.hpp
@@ -9,12 +9,15 @@
 /// out over whatever stands in for them. An instance_state belongs to one thread.
 
 #include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/decision/admission.hpp>
+#include <kumquatpath/decision/flow_router.hpp>
+#include <kumquatpath/decision/inflight_table.hpp>
 #include <kumquatpath/decision/membership.hpp>
 #include <kumquatpath/model/configuration.hpp>
 
 #include <memory>
 #include <optional>
-#include <unordered_map>
+#include <vector>
 
 namespace kumquatpath
 {
@@ -24,12 +27,20 @@
 {
     member_digest self;
     membership_options membership;
+    /// Its \c self is filled in from the one above.
+    flow_router_options router;
+    /// The most requests that are remembered until they are answered; one more is
+    /// refused.
+    std::size_t most_inflight = 65536;
 };
 
-/// The slots of one service, placed.
-struct placed_service
+/// A request that came to its end at this instance, for the metrics.
+struct finished_request
 {
-    std::vector<target_id> slots;
+    inflight_request request;
+    request_outcome outcome = request_outcome::answered;
+    bool has_timed_out = false;
+    duration latency{};
 };
 
 /// Everything that one instance remembers.
@@ -38,7 +49,16 @@
     instance_options options;
     kumquatpath::membership members;
     std::shared_ptr<const configuration> in_force;
-    std::unordered_map<service_id, placed_service> services;
+    flow_router router;
+    kumquatpath::admission admission;
+    /// The version of the membership whose view the other duties have.
+    std::uint64_t view_version = 0;
+    inflight_table inflight;
+    /// What ended since the caller last cleared the list.
+    std::vector<finished_request> finished;
+    /// Whether this instance is being stopped, and since when.
+    bool is_leaving = false;
+    time_point leaving_since{};
     /// The newest generation that any peer told of, and who told it.
     generation newest_heard;
     instance_id newest_holder;
@@ -50,7 +70,7 @@
 /// Puts \p next in force, unless it is not newer than what is in force. Returns whether
 /// it did.
 bool adopt_configuration(instance_state& state, std::shared_ptr<const configuration> next,
-                         time_point now);
+                         wall_time wall, time_point now);
 
 /// Returns the peer that holds a newer configuration than this instance, if one is known.
 std::optional<instance_id> newer_configuration_at(const instance_state& state);
@@ -59,9 +79,10 @@
 void decide_caller_packet(instance_state& state, const packet_header& header,
                           payload_view payload, time_point now, action_list& actions);
 
-/// Decides a packet that a target sent.
-void decide_target_packet(instance_state& state, const packet_header& header,
-                          payload_view payload, time_point now, action_list& actions);
+/// Decides a packet that \p sender sent.
+void decide_target_packet(instance_state& state, target_id sender,
+                          const packet_header& header, payload_view payload,
+                          time_point now, action_list& actions);
 
 /// Decides a caller's packet that \p sender passed on.
 void decide_passed_packet(instance_state& state, instance_id sender,
@@ -73,8 +94,15 @@
                          const peer_message& message, time_point now,
                          action_list& actions);
 
+/// Begins a graceful stop: peers are told, and new flows are passed on to them.
+void begin_leaving(instance_state& state, time_point now);
+
+/// Returns whether a graceful stop may end: nothing is unanswered, and peers had the time
+/// to hear of it.
+bool has_left(const instance_state& state, time_point now);
+
 /// Does what is due at \p now; to be called every few tens of milliseconds.
-void tick(instance_state& state, time_point now, action_list& actions);
+void tick(instance_state& state, wall_time wall, time_point now, action_list& actions);
 
 } // namespace kumquatpath
 
--- a/include/kumquatpath/edge/udp_port.hpp
+++ b/include/kumquatpath/edge/udp_port.hpp
@@ -63,6 +63,8 @@
     boost::asio::ip::udp::socket socket_;
     std::unique_ptr<buffers> buffers_;
     std::function<void()> handler_;
+    /// Expires with the port: a wait that ended just before must not touch it.
+    std::shared_ptr<void> alive_;
     std::uint64_t send_failures_ = 0;
 };
 
--- a/src/decision/flow_keeping.cpp
+++ b/src/decision/flow_keeping.cpp
@@ -113,7 +113,7 @@
     return group_of(placement.service, slot_of(key.flow, placement.slot_count));
 }
 
-bool take_tokens(token_bucket& bucket, double amount, time_point now)
+bool take_tokens(send_allowance& bucket, double amount, time_point now)
 {
     const double seconds = std::chrono::duration<double>(now - bucket.filled).count();
     bucket.tokens = std::min(bucket.rate, bucket.tokens + seconds * bucket.rate);
--- a/src/decision/flow_router_detail.hpp
+++ b/src/decision/flow_router_detail.hpp
@@ -22,7 +22,7 @@
 std::uint16_t group_of_flow(const service_placement& placement, flow_key key);
 
 /// Takes \p amount from \p bucket if it holds as much.
-bool take_tokens(token_bucket& bucket, double amount, time_point now);
+bool take_tokens(send_allowance& bucket, double amount, time_point now);
 
 /// Lists \p entry at this instance and lets its replica be told later.
 void queue_replication(flow_router& router, const flow_entry& entry, time_point now);
--- a/src/decision/instance.cpp
+++ b/src/decision/instance.cpp
@@ -1,50 +1,30 @@
 #include <kumquatpath/decision/instance.hpp>
 #include <kumquatpath/decision/invariant.hpp>
-#include <kumquatpath/decision/placement.hpp>
 
 namespace kumquatpath
 {
 namespace
 {
 
-void route(instance_state& state, const packet_header& header, payload_view payload,
-           action_list& actions)
-{
-    const auto found = state.services.find(header.service);
-    if (found == state.services.end())
-    {
-        actions.push_back(drop_packet{drop_reason::unknown_service});
-        return;
-    }
-    const std::vector<target_id>& slots = found->second.slots;
-    if (slots.empty())
-    {
-        actions.push_back(drop_packet{drop_reason::no_target});
-        return;
-    }
-    const slot_index slot =
-        slot_of(header.flow, static_cast<std::uint32_t>(slots.size()));
-    actions.push_back(send_to_target{
-        .target = slots[slot.value], .header = header, .payload = payload});
-}
+/// The time that peers and the fabric get to hear that an instance is leaving.
+constexpr duration leaving_notice = std::chrono::seconds(3);
+/// Places of the table of unanswered requests that are looked at in one tick.
+constexpr std::size_t expiry_steps = 4096;
 
-void note_heartbeat(instance_state& state, instance_id sender, const heartbeat& message,
-                    time_point now)
+flow_router_options router_options(const instance_options& options)
 {
-    merge_members(state.members, message.members, now);
-    if (message.generation > state.newest_heard)
-    {
-        state.newest_heard = message.generation;
-        state.newest_holder = sender;
-    }
+    flow_router_options chosen = options.router;
+    chosen.self = options.self.instance;
+    return chosen;
 }
 
-heartbeat make_heartbeat(instance_state& state)
+heartbeat make_heartbeat(instance_state& state, time_point now)
 {
     heartbeat message;
     message.generation = state.in_force ? state.in_force->generation : generation{};
-    message.switched = message.generation;
+    message.switched = state.router.switched;
     message.members = take_digests(state.members);
+    message.usages = usages(state.admission, now);
     return message;
 }
 
@@ -55,7 +35,7 @@
     {
         return;
     }
-    const heartbeat common = make_heartbeat(state);
+    const heartbeat common = make_heartbeat(state, now);
     for (const instance_id each : receivers)
     {
         heartbeat message = common;
@@ -67,16 +47,46 @@
     }
 }
 
+/// Tells the other duties of a view that has changed.
+void spread_view(instance_state& state, time_point now, action_list& actions)
+{
+    if (state.view_version == state.members.version)
+    {
+        return;
+    }
+    state.view_version = state.members.version;
+    const member_view view = view_of(state.members);
+    adopt_view(state.router, view, now, actions);
+    note_members(state.admission, view, now);
+}
+
+void expire(instance_state& state, time_point now)
+{
+    std::vector<inflight_request> expired;
+    expire_inflight(state.inflight, now, expiry_steps, expired);
+    for (const inflight_request& each : expired)
+    {
+        const duration latency = now - each.sent_at;
+        note_finished(state.admission, each.work, request_end::timed_out, latency, now);
+        state.finished.push_back({.request = each,
+                                  .outcome = request_outcome::unknown,
+                                  .has_timed_out = true,
+                                  .latency = latency});
+    }
+}
+
 } // namespace
 
 instance_state make_instance(const instance_options& options)
 {
     return {.options = options,
-            .members = make_membership(options.self, options.membership)};
+            .members = make_membership(options.self, options.membership),
+            .router = make_flow_router(router_options(options)),
+            .inflight = make_inflight_table(options.most_inflight)};
 }
 
 bool adopt_configuration(instance_state& state, std::shared_ptr<const configuration> next,
-                         time_point /*now*/)
+                         wall_time wall, time_point now)
 {
     const bool is_newer =
         !state.in_force || next->generation > state.in_force->generation;
@@ -84,13 +94,9 @@
     {
         return false;
     }
-    state.services.clear();
-    for (const service& each : next->services)
-    {
-        const auto targets = active_targets(*next, next->pools[each.pool]);
-        state.services[each.id].slots =
-            place_slots(targets, slot_count_for(targets.size()));
-    }
+    auto plan = plan_placements(*next, state.router.plan.get(), wall);
+    adopt_plan(state.router, std::move(plan), initial_switch(*next, wall), now);
+    configure(state.admission, *next);
     state.in_force = std::move(next);
     return true;
 }
@@ -105,40 +111,26 @@
     return state.newest_holder;
 }
 
-void decide_caller_packet(instance_state& state, const packet_header& header,
-                          payload_view payload, time_point /*now*/, action_list& actions)
+void begin_leaving(instance_state& state, time_point now)
 {
-    route(state, header, payload, actions);
+    state.is_leaving = true;
+    state.leaving_since = now;
+    announce_leaving(state.members, now);
 }
 
-void decide_target_packet(instance_state& /*state*/, const packet_header& header,
-                          payload_view payload, time_point /*now*/, action_list& actions)
+bool has_left(const instance_state& state, time_point now)
 {
-    actions.push_back(send_to_caller{.header = header, .payload = payload});
-}
-
-void decide_passed_packet(instance_state& state, instance_id sender,
-                          const packet_header& header, payload_view payload,
-                          time_point now, action_list& actions)
-{
-    note_heard(state.members, sender, now);
-    route(state, header, payload, actions);
-}
-
-void decide_peer_message(instance_state& state, instance_id sender,
-                         const peer_message& message, time_point now,
-                         action_list& /*actions*/)
-{
-    note_heard(state.members, sender, now);
-    if (const auto* const beat = std::get_if<heartbeat>(&message))
-    {
-        note_heartbeat(state, sender, *beat, now);
-    }
+    const bool has_handed_on = state.router.outbox.empty();
+    return state.is_leaving && has_handed_on && state.inflight.used == 0 &&
+           now - state.leaving_since >= leaving_notice;
 }
 
-void tick(instance_state& state, time_point now, action_list& actions)
+void tick(instance_state& state, wall_time wall, time_point now, action_list& actions)
 {
+    expire(state, now);
     send_heartbeats(state, now, actions);
+    spread_view(state, now, actions);
+    tick(state.router, wall, now, actions);
 }
 
 } // namespace kumquatpath
--- a/src/edge/udp_port.cpp
+++ b/src/edge/udp_port.cpp
@@ -79,7 +79,8 @@
 udp_port::udp_port(boost::asio::io_context& context, const endpoint& local,
                    std::size_t longest_datagram)
     : socket_(context, boost::asio::ip::udp::v4()),
-      buffers_(std::make_unique<buffers>(longest_datagram))
+      buffers_(std::make_unique<buffers>(longest_datagram)),
+      alive_(std::make_shared<int>())
 {
     socket_.set_option(boost::asio::socket_base::receive_buffer_size(kernel_buffer_size));
     socket_.set_option(boost::asio::socket_base::send_buffer_size(kernel_buffer_size));
@@ -97,16 +98,17 @@
 
 void udp_port::wait()
 {
-    socket_.async_wait(boost::asio::socket_base::wait_read,
-                       [this](const boost::system::error_code& failure)
-                       {
-                           if (failure)
-                           {
-                               return;
-                           }
-                           handler_();
-                           wait();
-                       });
+    socket_.async_wait(
+        boost::asio::socket_base::wait_read,
+        [this, alive = std::weak_ptr(alive_)](const boost::system::error_code& failure)
+        {
+            if (failure || alive.expired())
+            {
+                return;
+            }
+            handler_();
+            wait();
+        });
 }
 
 std::span<const received_datagram> udp_port::receive()
--- a/test/decision/admission_test.cpp
+++ b/test/decision/admission_test.cpp
@@ -4,12 +4,12 @@
 #include <kumquatpath/decision/admission.hpp>
 #include <kumquatpath/decision/invariant.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 #include <deque>
 #include <random>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace std::chrono_literals;
 
--- a/test/decision/concurrency_limit_test.cpp
+++ b/test/decision/concurrency_limit_test.cpp
@@ -3,10 +3,10 @@
 
 #include <kumquatpath/decision/concurrency_limit.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace std::chrono_literals;
 
--- a/test/decision/fleet_usage_test.cpp
+++ b/test/decision/fleet_usage_test.cpp
@@ -3,10 +3,10 @@
 
 #include <kumquatpath/decision/fleet_usage.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <cmath>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace std::chrono_literals;
 
--- a/test/decision/flow_table_test.cpp
+++ b/test/decision/flow_table_test.cpp
@@ -3,11 +3,11 @@
 
 #include <kumquatpath/decision/flow_table.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 
 namespace
--- a/test/decision/keeper_groups_test.cpp
+++ b/test/decision/keeper_groups_test.cpp
@@ -3,10 +3,10 @@
 
 #include "flow_fixture.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 #include <memory>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace kumquatpath::test;
 
--- a/test/decision/membership_test.cpp
+++ b/test/decision/membership_test.cpp
@@ -3,11 +3,12 @@
 
 #include <kumquatpath/decision/membership.hpp>
 
-#include <CppUTest/TestHarness.h>
 #include <bench/event_queue.hpp>
 
 #include <set>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace std::chrono_literals;
 
--- a/test/decision/placement_test.cpp
+++ b/test/decision/placement_test.cpp
@@ -3,11 +3,11 @@
 
 #include <kumquatpath/decision/placement.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <algorithm>
 #include <map>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 
 namespace
--- a/test/edge/packet_codec_test.cpp
+++ b/test/edge/packet_codec_test.cpp
@@ -6,11 +6,11 @@
 
 #include <boost/leaf/handle_errors.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <optional>
 #include <vector>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 
 namespace
--- a/test/model/configuration_check_test.cpp
+++ b/test/model/configuration_check_test.cpp
@@ -7,11 +7,11 @@
 
 #include <boost/json/serialize.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <chrono>
 #include <sstream>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace kumquatpath::test;
 using fault_kind = configuration_fault_kind;
--- a/test/model/configuration_envelope_test.cpp
+++ b/test/model/configuration_envelope_test.cpp
@@ -6,10 +6,10 @@
 
 #include <kumquatpath/model/configuration_envelope.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <optional>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace kumquatpath::test;
 using namespace std::chrono_literals;
