Admit every request of an open flow

Ruled out: a larger limit for downloads (a transfer could still be refused midway). Change: a flow is admitted when it is opened; later requests occupy their place, never refused. The new test fails without the change.

--- a/include/kumquatpath/decision/admission.hpp
+++ b/include/kumquatpath/decision/admission.hpp
@@ -104,8 +104,9 @@
 void configure(admission& state, const configuration& whole);
 
 /// Decides on the request in \p header, an open or data packet, which would go to
-/// \p target. Each admitted request must be ended once by note_finished(), at the latest
-/// when its deadline passes.
+/// \p target. A data packet, a request of an open flow, occupies its place but is never
+/// refused: its flow was admitted when it was opened. Each admitted request must be ended
+/// once by note_finished(), at the latest when its deadline passes.
 admission_result admit(admission& state, const packet_header& header, target_id target,
                        time_point now);
 
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -195,8 +195,10 @@
                             .target = target};
     note_event(lane.offered, now);
     roll(lane, is_pressed(pool.capacity, now), now);
+    // A flow was admitted when it was opened; refusing it later would break a transfer.
+    const bool is_open_flow = header.kind == packet_kind::data;
     const refusal_reason reason = decide(state, view, now);
-    if (reason != refusal_reason::none)
+    if (reason != refusal_reason::none && !is_open_flow)
     {
         return {.reason = reason};
     }
--- a/test/decision/admission_test.cpp
+++ b/test/decision/admission_test.cpp
@@ -172,6 +172,23 @@
     CHECK_COMPARE(admitted, >=, 10 * 50 * 95 / 100);
 }
 
+TEST(admission, a_request_of_an_open_flow_is_taken_beyond_every_limit)
+{
+    configuration whole = small_configuration();
+    whole.services[0].requests_per_second = 1;
+    admission state = small_admission(whole);
+    packet_header header = request_of(rangers, look_ups);
+    while (admit(state, header, some_target, time_point{1s}).admitted)
+    {
+    }
+    header.kind = packet_kind::data;
+
+    for (int i = 0; i < 100; ++i)
+    {
+        CHECK_TRUE(admit(state, header, some_target, time_point{1s}).admitted);
+    }
+}
+
 TEST(admission, a_refusal_names_the_limit_that_it_hit)
 {
     configuration whole = small_configuration();
