--- a/include/kumquatpath/edge/key_value_store.hpp
+++ b/include/kumquatpath/edge/key_value_store.hpp
@@ -25,8 +25,8 @@
 /// Identifies a lease that the platform granted.
 using lease_id = strong<struct lease_tag, std::uint64_t>;
 
-/// A failure: the platform was not reached, or said that it is down. The call has not
-/// taken effect.
+/// A failure: the platform was not reached, or said that it is down or over its rate. The
+/// call has not taken effect.
 struct store_unreachable
 {
 };
--- a/src/edge/platform_client.cpp
+++ b/src/edge/platform_client.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned status_not_modified = 304;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_conflict = 409;
+constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned status_unavailable = 503;
 
 boost::leaf::error_id malformed(unsigned status = status_ok)
@@ -127,7 +128,8 @@
         [&]() -> boost::leaf::result<http_answer>
         {
             BOOST_LEAF_AUTO(answer, client_.call(request));
-            if (answer.status == status_unavailable)
+            if (answer.status == status_unavailable ||
+                answer.status == status_too_many_requests)
             {
                 return boost::leaf::new_error(store_unreachable{});
             }
