--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -2,6 +2,10 @@
 
 #include "client/commands.hpp"
 #include "client/failure.hpp"
+#include "client/fleet.hpp"
+#include "client/fleet_metrics.hpp"
+#include "client/queries.hpp"
+#include "client/verb_table.hpp"
 
 #include <kumquatpath/edge/platform_client.hpp>
 #include <kumquatpath/model/configuration_check.hpp>
@@ -14,8 +18,10 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <limits>
 #include <random>
 #include <sstream>
+#include <thread>
 
 namespace kumquatpath
 {
@@ -33,6 +39,11 @@
     std::ostream& errors;
 };
 
+/// How long one instance may take to answer.
+constexpr std::chrono::milliseconds ask_timeout{1000};
+/// How often --wait asks the instances.
+constexpr std::chrono::milliseconds poll_interval{250};
+
 wall_time wall_now()
 {
     return std::chrono::time_point_cast<std::chrono::milliseconds>(
@@ -150,12 +161,100 @@
     context.out << "Published generation " << result.published.value << ".\n";
 }
 
-leaf::result<exit_code> run_command(const client_context& context)
+leaf::result<std::vector<instance_status>> read_fleet(key_value_store& store)
+{
+    BOOST_LEAF_AUTO(instances, store.instances());
+    return read_statuses(ask_instances(instances, "/v1/status", ask_timeout));
+}
+
+/// Waits until every instance that can be reached has \p wanted in force.
+exit_code wait_until_in_force(const client_context& context, key_value_store& store,
+                              generation wanted)
+{
+    std::ostream& out = context.options.json ? context.errors : context.out;
+    const auto end = std::chrono::steady_clock::now() + context.options.timeout;
+    std::size_t told = std::numeric_limits<std::size_t>::max();
+    while (true)
+    {
+        const auto progress = leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<generation_progress>>
+            {
+                BOOST_LEAF_AUTO(statuses, read_fleet(store));
+                return std::optional(progress_of(statuses, wanted));
+            },
+            [] { return std::optional<generation_progress>(); });
+        const bool is_over = std::chrono::steady_clock::now() >= end;
+        const bool is_done = progress && is_complete(*progress);
+        if (progress && (progress->in_force != told || is_over || is_done))
+        {
+            print_progress(out, *progress, wanted);
+            told = progress->in_force;
+        }
+        if (is_done || is_over)
+        {
+            return is_done ? exit_code::success : exit_code::not_in_force;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+leaf::result<exit_code> run_command(const client_context& context, key_value_store& store)
 {
-    BOOST_LEAF_AUTO(address, platform_address(context.options));
-    platform_client store({.server = address});
     BOOST_LEAF_AUTO(result, run_edit(context, store));
     tell(context, result);
+    if (context.options.wait)
+    {
+        return wait_until_in_force(context, store, result.published);
+    }
+    return exit_code::success;
+}
+
+leaf::result<exit_code> run_status(const client_context& context, key_value_store& store)
+{
+    BOOST_LEAF_AUTO(current, read_current(store));
+    const generation in_force = current ? current->envelope.generation : generation{};
+    BOOST_LEAF_AUTO(statuses, read_fleet(store));
+    print_status(context.out, statuses, in_force, context.options.json);
+    const generation_progress progress = progress_of(statuses, in_force);
+    const bool is_whole = progress.behind.empty() && progress.unreachable.empty();
+    return is_whole ? exit_code::success : exit_code::refused;
+}
+
+leaf::result<exit_code> run_query(const client_context& context, key_value_store& store)
+{
+    const command_options& options = context.options;
+    switch (options.verb)
+    {
+    case verb::show:
+    {
+        BOOST_LEAF_AUTO(envelope, show(store, options.generation));
+        print_show(context.out, envelope, options.json);
+        break;
+    }
+    case verb::diff:
+    {
+        BOOST_LEAF_AUTO(text, read_file(options.file));
+        BOOST_LEAF_AUTO(found, diff(store, text));
+        print_diff(context.out, found, options.json);
+        break;
+    }
+    case verb::history:
+    {
+        BOOST_LEAF_AUTO(lines, history(store, options.last));
+        print_history(context.out, lines, options.json);
+        break;
+    }
+    case verb::metrics:
+    {
+        BOOST_LEAF_AUTO(instances, store.instances());
+        print_metrics(context.out,
+                      add_up(ask_instances(instances, "/v1/metrics.json", ask_timeout)),
+                      options.json);
+        break;
+    }
+    default:
+        return run_status(context, store);
+    }
     return exit_code::success;
 }
 
@@ -165,7 +264,10 @@
     {
         return run_check(context);
     }
-    return run_command(context);
+    BOOST_LEAF_AUTO(address, platform_address(context.options));
+    platform_client store({.server = address});
+    return is_command(context.options.verb) ? run_command(context, store)
+                                            : run_query(context, store);
 }
 
 } // namespace
--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -15,8 +15,6 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr json::string_view base_key = "edited_from";
-
 /// Returns the object of \p change in \p document, or null.
 json::object* find_object(json::value& document, const state_change& change)
 {
@@ -70,26 +68,6 @@
     return "data centre";
 }
 
-/// A document that was read from an operator's file.
-struct submitted_document
-{
-    json::value document;
-    std::optional<generation> base;
-};
-
-leaf::result<submitted_document> read_document(std::string_view text)
-{
-    BOOST_LEAF_CHECK(check_document(text));
-    submitted_document read{json::parse(json::string_view(text.data(), text.size())), {}};
-    json::object& root = read.document.get_object();
-    if (const json::value* const base = root.if_contains(base_key))
-    {
-        read.base = generation{base->to_number<std::uint64_t>()};
-        root.erase(base_key);
-    }
-    return read;
-}
-
 /// Returns the document that an edit in a file started from.
 leaf::result<json::value>
 base_document(key_value_store& store, const std::optional<current_configuration>& current,
@@ -124,6 +102,19 @@
 
 } // namespace
 
+leaf::result<submitted_document> read_document(std::string_view text)
+{
+    BOOST_LEAF_CHECK(check_document(text));
+    submitted_document read{json::parse(json::string_view(text.data(), text.size())), {}};
+    json::object& root = read.document.get_object();
+    if (const json::value* const base = root.if_contains(base_key))
+    {
+        read.base = generation{base->to_number<std::uint64_t>()};
+        root.erase(base_key);
+    }
+    return read;
+}
+
 leaf::result<publication> apply(key_value_store& store, std::string_view text,
                                 std::optional<generation> base, const submitter& by)
 {
--- a/src/client/commands.hpp
+++ b/src/client/commands.hpp
@@ -50,6 +50,21 @@
 boost::leaf::result<publication> roll_back(key_value_store& store, generation wanted,
                                            const submitter& by);
 
+/// The key of a document that names the generation which it was edited from. It is never
+/// stored.
+inline constexpr std::string_view base_key = "edited_from";
+
+/// A document that was read from an operator's file.
+struct submitted_document
+{
+    boost::json::value document;
+    /// The generation that the file says it was edited from.
+    std::optional<generation> base;
+};
+
+/// Reads and checks \p text. Fails with configuration_faults.
+boost::leaf::result<submitted_document> read_document(std::string_view text);
+
 /// Returns \p document with the state of one object changed. Fails with unknown_object.
 boost::leaf::result<boost::json::value> with_state(const boost::json::value& document,
                                                    const state_change& change);
--- a/src/client/exit_code.hpp
+++ b/src/client/exit_code.hpp
@@ -20,6 +20,9 @@
     conflict = 4,
     /// Whether the edit was published is not known.
     outcome_unknown = 5,
+    /// The edit was published, but --wait ended before every instance that can be reached
+    /// had it in force.
+    not_in_force = 6,
 };
 
 } // namespace kumquatpath
--- /dev/null
+++ b/src/client/queries.cpp
@@ -0,0 +1,109 @@
+#include "client/queries.hpp"
+
+#include "client/commands.hpp"
+#include "client/failure.hpp"
+
+#include <boost/json/object.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace kumquatpath
+{
+namespace
+{
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+/// Returns a generation that may have left the history, or nothing if it has.
+leaf::result<std::optional<configuration_envelope>>
+find_generation(key_value_store& store,
+                const std::optional<current_configuration>& current, generation wanted)
+{
+    using found = std::optional<configuration_envelope>;
+    return leaf::try_handle_some(
+        [&]() -> leaf::result<found>
+        {
+            BOOST_LEAF_AUTO(envelope, read_generation(store, current, wanted));
+            return found(std::move(envelope));
+        },
+        [](const unknown_generation&) -> leaf::result<found> { return found(); });
+}
+
+history_line line_of(const configuration_envelope& envelope)
+{
+    return {.generation = envelope.generation,
+            .submitted_at = envelope.submitted_at,
+            .author = envelope.author,
+            .submission = envelope.submission};
+}
+
+} // namespace
+
+leaf::result<configuration_envelope> show(key_value_store& store,
+                                          const std::optional<generation>& wanted)
+{
+    BOOST_LEAF_AUTO(current, read_current(store));
+    if (!current)
+    {
+        return leaf::new_error(nothing_in_force{});
+    }
+    return read_generation(store, current, wanted.value_or(current->envelope.generation));
+}
+
+json::value editable_document(const configuration_envelope& envelope)
+{
+    // The generation goes to the head of the file, where it is seen.
+    json::object document;
+    const json::object& stored = envelope.document.get_object();
+    document[base_key] = envelope.generation.value;
+    for (const auto& member : stored)
+    {
+        document[member.key()] = member.value();
+    }
+    return document;
+}
+
+leaf::result<document_diff> diff(key_value_store& store, std::string_view text)
+{
+    BOOST_LEAF_AUTO(file, read_document(text));
+    BOOST_LEAF_AUTO(current, read_current(store));
+    if (!current)
+    {
+        return document_diff{.changes = changes_between(json::object(), file.document)};
+    }
+    return document_diff{.in_force = current->envelope.generation,
+                         .changes =
+                             changes_between(current->envelope.document, file.document)};
+}
+
+leaf::result<std::vector<history_line>> history(key_value_store& store,
+                                                std::uint64_t last)
+{
+    std::vector<history_line> lines;
+    BOOST_LEAF_AUTO(current, read_current(store));
+    std::optional<configuration_envelope> later;
+    if (current)
+    {
+        later = current->envelope;
+    }
+    while (later && lines.size() < last)
+    {
+        lines.push_back(line_of(*later));
+        std::optional<configuration_envelope> earlier;
+        if (later->generation.value > 1)
+        {
+            BOOST_LEAF_ASSIGN(
+                earlier, find_generation(store, current, {later->generation.value - 1}));
+        }
+        if (earlier || later->generation.value == 1)
+        {
+            lines.back().changes =
+                changes_between(earlier ? earlier->document : json::value(json::object()),
+                                later->document);
+        }
+        later = std::move(earlier);
+    }
+    return lines;
+}
+
+} // namespace kumquatpath
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -206,6 +206,7 @@
   3  the platform was not reached; nothing was changed
   4  conflict: somebody else changed the same objects, which are named
   5  outcome unknown: the platform went away in the middle of a write
+  6  published, but --wait ended before every reachable instance had it in force
 )";
 
 constexpr std::string_view first_night = R"(
@@ -261,6 +262,11 @@
     return found == entries.end() ? nullptr : found;
 }
 
+bool is_command(verb wanted)
+{
+    return std::ranges::find(entries, wanted, &verb_entry::verb)->is_command;
+}
+
 std::string help_text(const std::optional<verb>& wanted)
 {
     if (!wanted)
--- a/src/client/verb_table.hpp
+++ b/src/client/verb_table.hpp
@@ -47,6 +47,9 @@
 /// Returns every verb, commands first.
 std::span<const verb_entry> verb_entries();
 
+/// Returns whether \p wanted changes the configuration.
+bool is_command(verb wanted);
+
 /// Returns the entry for \p word, or null.
 const verb_entry* find_verb_entry(std::string_view word);
 
--- /dev/null
+++ b/test/support/canned_server.hpp
@@ -0,0 +1,81 @@
+#ifndef KUMQUATPATH_TEST_SUPPORT_CANNED_SERVER_HPP
+#define KUMQUATPATH_TEST_SUPPORT_CANNED_SERVER_HPP
+
+/// \file
+/// A TCP server on loopback that gives prepared answers.
+
+#include <kumquatpath/model/endpoint.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace kumquatpath::test
+{
+
+/// What the server does with one connection: it reads one request for each answer and
+/// then closes. An empty answer closes at once after the request.
+using canned_connection = std::vector<std::string>;
+
+/// Returns a whole HTTP answer.
+inline std::string http_text(int status, const std::string& body)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Serves the connections one after the other, on a thread of its own.
+class canned_server
+{
+public:
+    explicit canned_server(std::vector<canned_connection> connections)
+        : acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
+          thread_([this, all = std::move(connections)] { serve(all); })
+    {
+    }
+
+    endpoint address() const
+    {
+        return {.address = 0x7f000001, .port = acceptor_.local_endpoint().port()};
+    }
+
+    /// The requests' first lines; to be read after join().
+    std::vector<std::string> requests;
+
+    void join()
+    {
+        thread_.join();
+    }
+
+private:
+    void serve(const std::vector<canned_connection>& connections)
+    {
+        for (const canned_connection& each : connections)
+        {
+            boost::asio::ip::tcp::socket socket(context_);
+            acceptor_.accept(socket);
+            for (const std::string& answer : each)
+            {
+                std::string request;
+                boost::system::error_code error;
+                boost::asio::read_until(socket, boost::asio::dynamic_buffer(request),
+                                        "\r\n\r\n", error);
+                requests.push_back(request.substr(0, request.find(" HTTP")));
+                boost::asio::write(socket, boost::asio::buffer(answer), error);
+            }
+        }
+    }
+
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::jthread thread_;
+};
+
+} // namespace kumquatpath::test
+
+#endif
