Keep the roster by a fenced lease, and prove submissions in a world of faults

Cause: the claims rest on a roster that somebody has to keep, and nothing yet had tried to break them. Two more faults were found on the way: once a majority of the old holders was replaced under new names, the joint time of a version never ended; and an instance that restarted took a settled version for joint again and waited for holders long gone.

Ruled out: a time stamp in each packet (callers' clocks); ending the joint time when the old holders are silent (a cut-off majority may go on with the old version); the platform's list of live instances as proof of death (it lags, and a cut looks like a death).

Change: what arrives within half a second after a pause is dropped. The joint time also ends when the store lease has passed, during which an instance goes on without a word of the store. A version whose old holders no longer count is written again without them. Instances that are behind are told by peers, with the age of the store's word, so that the store may be away.

Conclusion: no counter-example is known. After a majority of holders crashes and comes back under other names at once, their keys are undecided until the store lease has passed.

--- a/include/kumquatpath/decision/roster.hpp
+++ b/include/kumquatpath/decision/roster.hpp
@@ -8,13 +8,15 @@
 /// Guarantee: two instances for which may_decide() is true at any two times less than
 /// roster_options::longest_keep apart use quorums that intersect, for every key. This
 /// rests on three rules. A version counts only while a majority of its holders was heard
-/// at it within the view lease. The first time of a version is joint: a quorum is a
-/// majority of the holders of both the old and the new version. The joint time ends only
-/// when a majority of the old holders follows the new version and `transition` has passed
-/// since, by when no instance can still count on the old version alone.
+/// at it within the view lease, and only within the store lease. The first time of a
+/// version is joint: a quorum is a majority of the holders of both the old and the new
+/// version. The joint time ends when a majority of the old holders has followed the new
+/// version for the transition time, or when the store lease has passed; by then no
+/// instance can still count on the old version alone.
 ///
-/// Failure: while fewer holders than a majority are heard, nothing may be decided. See
-/// design/leadership.md.
+/// Failures: while fewer holders than a majority are heard, nothing may be decided. When
+/// a majority of the holders is gone for good at once, keys of theirs are undecided until
+/// the store lease has passed. See design/leadership.md.
 
 #include <kumquatpath/model/ids.hpp>
 #include <kumquatpath/model/peer_message.hpp>
@@ -32,7 +34,8 @@
     roster_version version;
     /// The holders of this version, in ascending order.
     std::vector<instance_id> holders;
-    /// The holders of the version before; empty in the first version.
+    /// The holders of the version before; empty in the first version, and in any version
+    /// once some instance found that they no longer count.
     std::vector<instance_id> previous;
 
     friend bool operator==(const roster&, const roster&) = default;
@@ -43,15 +46,20 @@
 {
     /// How long a holder's announcement of its version counts.
     duration view_lease = std::chrono::seconds{3};
+    /// How long an instance goes on deciding without a word from the store; the longest
+    /// outage of the store that submissions survive.
+    duration store_lease = std::chrono::hours{2};
     /// The longest time in which a copy of one submission may still arrive.
-    duration longest_keep = std::chrono::seconds{12};
+    duration longest_keep = std::chrono::seconds{14};
     /// How long a version stays joint once a majority of the old holders follows it: more
     /// than the view lease, the longest keep and the longest delay of a message together.
     duration transition = std::chrono::seconds{20};
     /// A longer time between two ticks means that the instance was paused.
-    duration longest_gap = std::chrono::seconds{1};
-    /// After a pause, announcements are ignored for this long: they may have waited in a
-    /// buffer all through the pause.
+    duration longest_gap = std::chrono::milliseconds{500};
+    /// The longest time that a notice spends on its way.
+    duration longest_delay = std::chrono::seconds{1};
+    /// After a pause, announcements and submissions are ignored for this long: they may
+    /// have waited in a buffer all through the pause.
     duration settle_time = std::chrono::milliseconds{500};
 };
 
@@ -63,13 +71,12 @@
     time_point heard{};
 };
 
-/// Where an instance learnt a roster.
-enum class roster_source : std::uint8_t
+/// What one instance tells another that is behind, also while the store is away.
+struct roster_notice
 {
-    /// Read from the platform's store, which never goes back.
-    store,
-    /// Told by another instance, which may itself be behind.
-    peer,
+    roster value;
+    /// The time since the store was asked and named the value.
+    duration store_word_age{};
 };
 
 /// What one instance knows of the roster.
@@ -83,6 +90,10 @@
     /// Whether the store has named the version since this incarnation started, or a
     /// majority of the other holders has once the instance had a whole memory again.
     bool is_confirmed = false;
+    /// When the store was last asked and named the current version.
+    std::optional<time_point> store_word;
+    /// When the current version was learnt.
+    time_point learned_at{};
     std::vector<roster_sighting> sightings;
     /// When a majority of the old holders was first known to follow the current version.
     std::optional<time_point> followed_since;
@@ -111,9 +122,19 @@
 roster_view start_roster_view(const roster_options& options, instance_id self,
                               time_point now);
 
-/// Takes \p newer into force unless a newer version is; returns whether it was taken.
-bool learn_roster(roster_view& view, const roster& newer, roster_source source,
-                  time_point now);
+/// Returns what to tell a peer that announced an older version; nothing when this
+/// instance has no word of the store to pass on.
+std::optional<roster_notice> notice_of(const roster_view& view, time_point now);
+
+/// Takes the roster that a peer told of into force unless a newer version is. Returns
+/// whether it was taken. The peer's word of the store counts here as well, by its age.
+bool learn_roster_from_peer(roster_view& view, const roster_notice& notice,
+                            time_point now);
+
+/// Takes \p newer, which the store held at some time after \p asked_at, into force unless
+/// a newer version is. Returns whether it was taken.
+bool learn_roster_from_store(roster_view& view, const roster& newer, time_point asked_at,
+                             time_point now);
 
 /// Notes that \p from announced \p version in a heartbeat.
 void hear_roster_version(roster_view& view, instance_id from, roster_version version,
@@ -126,14 +147,21 @@
 /// that a restarted instance never stands for a version that it had already left.
 roster_version announced_version(const roster_view& view);
 
-/// Returns whether this instance may hold and coordinate claims: it has outlived what an
-/// earlier incarnation may have held, it was not paused, and a majority follows its
-/// version.
+/// Returns whether this instance may coordinate claims: it has outlived what an earlier
+/// incarnation may have held, it was not paused, the store named its version within the
+/// store lease, and a majority follows the version.
 bool may_decide(const roster_view& view, time_point now);
 
+/// Returns whether what arrives at \p now may have waited through a pause.
+bool may_be_stale(const roster_view& view, time_point now);
+
 /// Returns whether this instance still remembers every claim that it granted.
 bool has_whole_memory(const roster_view& view, time_point now);
 
+/// Returns whether a planned stop would take no vote away: the instance is a holder
+/// neither of the version in force nor, while that is joint, of the one before.
+bool may_leave(const roster_view& view, time_point now);
+
 /// Returns whether quorums need both the old and the new holders at \p now.
 bool is_joint(const roster_view& view, time_point now);
 
--- a/include/kumquatpath/decision/submission.hpp
+++ b/include/kumquatpath/decision/submission.hpp
@@ -41,8 +41,9 @@
     duration claim_interval = std::chrono::milliseconds{20};
     /// The rounds of claims before the coordinator gives up.
     std::uint32_t most_rounds = 8;
-    /// The longest delay of a packet in the fabric, and of a message between instances.
-    duration margin = std::chrono::seconds{2};
+    /// The longest time that a copy spends on its way, over every hop: a hop is one delay
+    /// of the fabric and one pause of roster_options::longest_gap that goes unnoticed.
+    duration margin = std::chrono::seconds{4};
     /// How long copies of a finished submission are absorbed whose answer is not kept.
     duration echo_window = std::chrono::seconds{1};
     /// The most submissions remembered by their coordinator.
--- a/src/decision/roster.cpp
+++ b/src/decision/roster.cpp
@@ -81,6 +81,42 @@
     view.last_tick = std::max(view.last_tick, now);
 }
 
+/// Forgets the old holders once they no longer count, which holds for all instances.
+void settle(roster_view& view, time_point now)
+{
+    if (!is_joint(view, now))
+    {
+        view.current.previous.clear();
+    }
+}
+
+bool take_roster(roster_view& view, const roster& newer, time_point now)
+{
+    if (newer.version == view.current.version && newer.previous.empty())
+    {
+        view.current.previous.clear();
+    }
+    if (newer.version <= view.current.version)
+    {
+        return false;
+    }
+    view.current = newer;
+    view.learned_at = now;
+    view.store_word.reset();
+    view.followed_since.reset();
+    note_following(view, now);
+    return true;
+}
+
+/// Notes that the store, asked at \p asked_at, named \p version.
+void note_store_word(roster_view& view, roster_version version, time_point asked_at)
+{
+    if (version == view.current.version)
+    {
+        view.store_word = std::max(view.store_word.value_or(asked_at), asked_at);
+    }
+}
+
 std::vector<instance_id> ranked(const std::vector<instance_id>& holders,
                                 const submission_key& key)
 {
@@ -112,22 +148,41 @@
     return {.options = options, .self = self, .started = now, .last_tick = now};
 }
 
-bool learn_roster(roster_view& view, const roster& newer, roster_source source,
-                  time_point now)
+std::optional<roster_notice> notice_of(const roster_view& view, time_point now)
+{
+    if (!view.store_word)
+    {
+        return std::nullopt;
+    }
+    return roster_notice{.value = view.current, .store_word_age = now - *view.store_word};
+}
+
+bool learn_roster_from_peer(roster_view& view, const roster_notice& notice,
+                            time_point now)
 {
     note_pause(view, now);
-    const bool confirms = source == roster_source::store;
-    if (newer.version <= view.current.version)
+    if (now < view.deaf_until)
     {
-        view.is_confirmed =
-            view.is_confirmed || (confirms && newer.version == view.current.version);
         return false;
     }
-    view.current = newer;
-    view.followed_since.reset();
-    view.is_confirmed = view.is_confirmed || confirms;
-    note_following(view, now);
-    return true;
+    const bool is_taken = take_roster(view, notice.value, now);
+    note_store_word(view, notice.value.version,
+                    now - notice.store_word_age - view.options.longest_delay);
+    return is_taken;
+}
+
+bool learn_roster_from_store(roster_view& view, const roster& newer, time_point asked_at,
+                             time_point now)
+{
+    note_pause(view, now);
+    const bool is_taken = take_roster(view, newer, now);
+    note_store_word(view, newer.version, asked_at);
+    if (newer.version == view.current.version)
+    {
+        view.is_confirmed = true;
+        note_following(view, now);
+    }
+    return is_taken;
 }
 
 void hear_roster_version(roster_view& view, instance_id from, roster_version version,
@@ -157,6 +212,7 @@
 void tick_roster(roster_view& view, time_point now)
 {
     note_pause(view, now);
+    settle(view, now);
 }
 
 roster_version announced_version(const roster_view& view)
@@ -169,18 +225,31 @@
     return now - view.started >= view.options.longest_keep;
 }
 
+bool may_be_stale(const roster_view& view, time_point now)
+{
+    return now < view.deaf_until || now - view.last_tick > view.options.longest_gap;
+}
+
 bool may_decide(const roster_view& view, time_point now)
 {
-    return has_whole_memory(view, now) && view.is_confirmed &&
-           now - view.last_tick <= view.options.longest_gap &&
+    return has_whole_memory(view, now) && view.is_confirmed && !may_be_stale(view, now) &&
            is_followed_now(view, own_vote(view, view.current.holders), now);
 }
 
+bool may_leave(const roster_view& view, time_point now)
+{
+    return !contains(view.current.holders, view.self) &&
+           !(is_joint(view, now) && contains(view.current.previous, view.self));
+}
+
 bool is_joint(const roster_view& view, time_point now)
 {
-    return !view.current.previous.empty() &&
-           !(view.followed_since &&
-             now - *view.followed_since >= view.options.transition);
+    const duration transition = view.options.transition;
+    const bool is_followed =
+        view.followed_since && now - *view.followed_since >= transition;
+    const bool has_lapsed =
+        now - view.learned_at >= view.options.store_lease + transition;
+    return !view.current.previous.empty() && !is_followed && !has_lapsed;
 }
 
 holder_sets holders_of(const roster_view& view, const submission_key& key, time_point now)
--- a/src/decision/submission_route.cpp
+++ b/src/decision/submission_route.cpp
@@ -146,6 +146,13 @@
                                   const packet_header& header, payload_view payload,
                                   action_list& actions)
 {
+    if (may_be_stale(context.roster, context.now))
+    {
+        // The packet may be older than any record of its submission; a caller that still
+        // waits sends another copy.
+        actions.push_back(drop_packet{drop_reason::no_keeper});
+        return submission_route::handled;
+    }
     const submission_key key = key_of(header);
     if (const submission* entry = find_submission(state, key))
     {
--- /dev/null
+++ b/test/decision/submission_world_test.cpp
@@ -0,0 +1,79 @@
+/// \file
+/// Eight instances under kills, pauses, cuts, replacements and outages of the store, in
+/// virtual time: no submission runs twice, and "not run" is true. Each mechanism is seen
+/// to be needed by a run of the same world without it.
+
+#include "bench/retry_run.hpp"
+
+#include <kumquatpath/decision/invariant.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpath;
+using namespace kumquatpath::bench;
+using namespace std::chrono_literals;
+
+TEST_GROUP(submission_world){
+    /// Runs 200 s in which some instance is struck every second or so.
+    static ledger run(submission_variant variant,
+                      std::uint64_t seed){return run_world({.variant = variant,
+                                                            .seed = seed,
+                                                            .length = 200s,
+                                                            .kills_per_claim = 0.004,
+                                                            .pauses_per_claim = 0.004,
+                                                            .fault_interval = 8s,
+                                                            .renamed = 0.3,
+                                                            .store_lease = 30s});
+}
+
+static void check_fails(submission_variant variant, std::uint64_t seed)
+{
+    CHECK_COMPARE(run_twice(run(variant, seed)), >, 0);
+}
+
+void teardown() override
+{
+    violation_policy_is(violation_policy::count);
+}
+}
+;
+
+TEST(submission_world, no_submission_runs_twice_and_not_run_is_true)
+{
+    violation_policy_is(violation_policy::abort);
+    for (const std::uint64_t seed : {1U, 2U, 3U, 5U, 8U, 13U, 20U})
+    {
+        const ledger outcome = run(submission_variant::claims, seed);
+        CHECK_COMPARE(outcome.fates.size(), >, 7000);
+        DOUBLES_EQUAL(0, run_twice(outcome), 0);
+        DOUBLES_EQUAL(0, false_not_run(outcome), 0);
+        LONGS_EQUAL(0, outcome.misdelivered);
+        LONGS_EQUAL(0, outcome.lost_answers);
+    }
+}
+
+TEST(submission_world, copies_run_twice_without_a_shared_memory)
+{
+    check_fails(submission_variant::no_memory, 1);
+    check_fails(submission_variant::local_memory, 1);
+}
+
+TEST(submission_world, copies_run_twice_where_a_silent_keeper_is_taken_for_dead)
+{
+    check_fails(submission_variant::two_holders_no_fence, 1);
+}
+
+TEST(submission_world, copies_run_twice_where_a_restarted_holder_does_not_abstain)
+{
+    check_fails(submission_variant::claims_no_abstention, 1);
+}
+
+TEST(submission_world, copies_run_twice_where_a_new_roster_is_not_joint)
+{
+    check_fails(submission_variant::claims_no_joint, 8);
+}
+
+TEST(submission_world, copies_run_twice_where_an_unheard_instance_goes_on)
+{
+    check_fails(submission_variant::claims_no_view_lease, 1);
+}
