--- a/bench/retry_ledger.hpp
+++ b/bench/retry_ledger.hpp
@@ -77,6 +77,12 @@
                        { return each.was_told_not_run && each.runs > 0; });
 }
 
+inline double told_not_run(const ledger& all)
+{
+    return count_fates(all,
+                       [](const submission_fate& each) { return each.was_told_not_run; });
+}
+
 /// Returns the share of submissions whose caller learnt neither an answer nor "not run".
 inline double unknown_share(const ledger& all)
 {
--- a/bench/retry_run.hpp
+++ b/bench/retry_run.hpp
@@ -150,7 +150,8 @@
     which.members = {.self = id, .members = {{.instance = id, .since = now}}};
     const lease_token token{(std::uint64_t{id.value} << 32U) | which.incarnation};
     which.leader = start_roster_leader({}, token);
-    which.submissions.options.claimed_refusals_per_second = 100;
+    which.submissions.options.claimed_refusals_per_second =
+        all.options.claimed_refusals_per_second;
 }
 
 /// Kills instance \p i; it, or a replacement with another name, starts again.
--- a/bench/retry_world.hpp
+++ b/bench/retry_world.hpp
@@ -56,6 +56,8 @@
     double renamed = 0.1;
     /// See roster_options; short enough that a run sees it pass.
     duration store_lease = std::chrono::seconds{90};
+    /// See submission_options; so many that every refusal is claimed.
+    double claimed_refusals_per_second = 100;
     /// False takes the store away for all of the load's time.
     bool has_store = true;
 };
--- a/include/kumquatpath/decision/submission.hpp
+++ b/include/kumquatpath/decision/submission.hpp
@@ -54,7 +54,7 @@
     std::size_t most_answer_bytes = std::size_t{4} << 20U;
     /// Early refusals a second that are claimed, so that they can be told as "not run".
     /// Those beyond are told as "unknown", so a flood does not grow the control traffic.
-    double claimed_refusals_per_second = 10;
+    double claimed_refusals_per_second = 5;
 };
 
 /// How far the coordinator is with a submission.
