--- a/include/kumquatpath/decision/placement.hpp
+++ b/include/kumquatpath/decision/placement.hpp
@@ -23,8 +23,8 @@
 slot_index slot_of(flow_id flow, std::uint32_t slot_count) noexcept;
 
 /// Returns the count of slots for a service of \p target_count targets: a power of two of
-/// at least 100 slots a target, so that the shares of targets stay close to even. It grows
-/// in large steps, because a new count moves most slots.
+/// at least 100 slots a target, so that the shares of targets stay close to even. It
+/// grows in large steps, because a new count moves most slots.
 std::uint32_t slot_count_for(std::size_t target_count) noexcept;
 
 /// Places \p slot_count slots on \p targets, which are distinct and in ascending order.
