--- a/test/client/client_test.cpp
+++ b/test/client/client_test.cpp
@@ -4,10 +4,10 @@
 #include "client/client.hpp"
 #include "client/verb_table.hpp"
 
-#include <CppUTest/TestHarness.h>
-
 #include <sstream>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 
 TEST_GROUP(client)
--- a/test/client/fleet_test.cpp
+++ b/test/client/fleet_test.cpp
@@ -6,10 +6,10 @@
 
 #include <boost/json/parse.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <sstream>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 
 namespace
--- a/test/client/queries_test.cpp
+++ b/test/client/queries_test.cpp
@@ -9,10 +9,10 @@
 
 #include <boost/json/serialize.hpp>
 
-#include <CppUTest/TestHarness.h>
-
 #include <sstream>
 
+#include <CppUTest/TestHarness.h>
+
 using namespace kumquatpath;
 using namespace kumquatpath::test;
 
