Claim submissions in the daemon before they are sent

Cause: at-most-once rested on a calm fabric; the claims were decided but not composed. Ruled out: a coordinator at the slot's keeper (it need not hold the key's claims); passing a won claim on to the keeper for sending (a copy made on that hop would run twice).

--- a/include/kumquatpath/decision/instance.hpp
+++ b/include/kumquatpath/decision/instance.hpp
@@ -13,6 +13,8 @@
 #include <kumquatpath/decision/flow_router.hpp>
 #include <kumquatpath/decision/inflight_table.hpp>
 #include <kumquatpath/decision/membership.hpp>
+#include <kumquatpath/decision/roster_leader.hpp>
+#include <kumquatpath/decision/submission.hpp>
 #include <kumquatpath/model/configuration.hpp>
 
 #include <memory>
@@ -29,6 +31,9 @@
     membership_options membership;
     /// Its \c self is filled in from the one above.
     flow_router_options router;
+    roster_options roster;
+    roster_leader_options leader;
+    submission_options submissions;
     /// The most requests that are remembered until they are answered; one more is
     /// refused.
     std::size_t most_inflight = 65536;
@@ -54,6 +59,11 @@
     /// The version of the membership whose view the other duties have.
     std::uint64_t view_version = 0;
     inflight_table inflight;
+    roster_view roster;
+    roster_leader leader;
+    submission_state submissions;
+    /// What the platform is to be asked since the caller last cleared the list.
+    store_command_list store_commands;
     /// What ended since the caller last cleared the list.
     std::vector<finished_request> finished;
     /// Whether this instance is being stopped, and since when.
@@ -64,8 +74,22 @@
     instance_id newest_holder;
 };
 
-/// Returns the state of an instance that has just started.
-instance_state make_instance(const instance_options& options);
+/// Returns the state of an instance that starts at \p now.
+instance_state make_instance(const instance_options& options, time_point now);
+
+/// Returns whether this instance may claim submissions now; see roster.hpp.
+bool may_claim(const instance_state& state, time_point now);
+
+/// Takes the platform's answer about the lease of the roster's leader.
+void receive_store_answer(instance_state& state, const lease_answer& answer);
+
+/// Takes the platform's answer about the roster.
+void receive_store_answer(instance_state& state, const roster_answer& answer,
+                          time_point now);
+
+/// Returns the region of this instance, which names its roster; empty while no
+/// configuration tells it.
+std::string_view region_of(const instance_state& state);
 
 /// Puts \p next in force, unless it is not newer than what is in force. Returns whether
 /// it did.
--- a/include/kumquatpath/model/peer_message.hpp
+++ b/include/kumquatpath/model/peer_message.hpp
@@ -73,6 +73,13 @@
     target_id target;
 };
 
+/// Asks a keeper where a flow rests; a hint answers it.
+struct flow_query
+{
+    service_id service;
+    flow_id flow;
+};
+
 /// Flows that rest on other targets than their slot's oldest one, from keeper to keeper.
 struct flow_listing
 {
@@ -139,9 +146,20 @@
     roster_version roster;
 };
 
+/// Tells a peer that is behind of the roster in force.
+struct roster_news
+{
+    roster_version version;
+    std::vector<instance_id> holders;
+    /// The holders of the version before, while they still count.
+    std::vector<instance_id> previous;
+    /// The time since the store was asked and named this version.
+    std::chrono::milliseconds store_word_age{0};
+};
+
 /// Any message between instances.
-using peer_message =
-    std::variant<heartbeat, flow_hint, flow_listing, listing_request, claim, claim_reply>;
+using peer_message = std::variant<heartbeat, flow_hint, flow_query, flow_listing,
+                                  listing_request, claim, claim_reply, roster_news>;
 
 } // namespace kumquatpath
 
--- a/src/daemon/messages.hpp
+++ b/src/daemon/messages.hpp
@@ -4,6 +4,7 @@
 /// \file
 /// What the duties of the daemon tell each other through their inboxes.
 
+#include <kumquatpath/decision/roster_leader.hpp>
 #include <kumquatpath/edge/key_value_store.hpp>
 #include <kumquatpath/model/configuration.hpp>
 #include <kumquatpath/model/peer_message.hpp>
@@ -37,7 +38,15 @@
 };
 
 /// To the packet duty.
-using packet_message = std::variant<checked_envelope, members_listed, stop_requested>;
+using packet_message = std::variant<checked_envelope, members_listed, stop_requested,
+                                    lease_answer, roster_answer>;
+
+/// To the roster duty: one question to the platform about the roster of \c region.
+struct roster_order
+{
+    std::string region;
+    store_command command;
+};
 
 /// To the transfer duty: fetch what is newer than \c newer_than from \c peer.
 struct fetch_configuration
--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -67,7 +67,7 @@
 
 packet_duty::packet_duty(const daemon_settings& settings, packet_duty_outputs outputs)
     : settings_(settings), outputs_(std::move(outputs)),
-      state_(make_instance({.self = own_digest(settings)})),
+      state_(make_instance({.self = own_digest(settings)}, monotonic_now())),
       packet_builder_(usual_datagram), peer_builder_(usual_datagram),
       listeners_(context_, settings.data_address,
                  [this](open_listener& listener) { receive_from_callers(listener); }),
@@ -110,6 +110,16 @@
         note_listed_members(*listed);
         return;
     }
+    if (const auto* const lease = std::get_if<lease_answer>(&message))
+    {
+        receive_store_answer(state_, *lease);
+        return;
+    }
+    if (const auto* const told = std::get_if<roster_answer>(&message))
+    {
+        receive_store_answer(state_, *told, monotonic_now());
+        return;
+    }
     if (!state_.is_leaving)
     {
         log(log_level::info, "stop_began", {{"unanswered", state_.inflight.used}});
@@ -403,6 +413,7 @@
     tick(state_, wall_now(), now, actions_);
     carry_out(now);
     flush();
+    order_store_commands();
     fetch_newer_configuration(now);
     if (now - last_snapshot_ >= snapshot_interval)
     {
@@ -429,6 +440,15 @@
         .in_force = state_.in_force ? state_.in_force->generation : generation{}});
 }
 
+void packet_duty::order_store_commands()
+{
+    for (const store_command& each : state_.store_commands)
+    {
+        outputs_.roster({.region = std::string(region_of(state_)), .command = each});
+    }
+    state_.store_commands.clear();
+}
+
 void packet_duty::fetch_newer_configuration(time_point now)
 {
     const auto holder = newer_configuration_at(state_);
@@ -466,6 +486,7 @@
     snapshot->instance = settings_.name;
     snapshot->data_centre = settings_.data_centre;
     snapshot->is_leaving = state_.is_leaving;
+    snapshot->may_claim = may_claim(state_, monotonic_now());
     if (state_.in_force)
     {
         snapshot->in_force = state_.in_force->generation;
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -34,6 +34,7 @@
 {
     std::function<void(transfer_message)> transfer;
     std::function<void(platform_message)> platform;
+    std::function<void(roster_order)> roster;
     std::function<void(shared_snapshot)> operators;
 };
 
@@ -84,6 +85,7 @@
     void wait_for_tick();
     void on_tick();
     void tell_platform_duty();
+    void order_store_commands();
     void fetch_newer_configuration(time_point now);
     void publish_snapshot();
     shared_snapshot make_snapshot() const;
--- a/src/daemon/snapshot.hpp
+++ b/src/daemon/snapshot.hpp
@@ -51,6 +51,8 @@
     generation in_force;
     generation switched;
     bool is_leaving = false;
+    /// Whether the instance may claim submissions that may not be repeated.
+    bool may_claim = false;
     std::vector<member_status> members;
     std::vector<drain_status> drains;
     std::vector<histogram_copy> histograms;
--- a/src/daemon/snapshot_text.cpp
+++ b/src/daemon/snapshot_text.cpp
@@ -82,6 +82,7 @@
                                         {"generation", snapshot.in_force.value},
                                         {"switched", snapshot.switched.value},
                                         {"leaving", snapshot.is_leaving},
+                                        {"claims", snapshot.may_claim},
                                         {"members", std::move(members)},
                                         {"drains", std::move(drains)}});
 }
--- a/src/decision/instance.cpp
+++ b/src/decision/instance.cpp
@@ -1,5 +1,6 @@
-#include <kumquatpath/decision/instance.hpp>
-#include <kumquatpath/decision/invariant.hpp>
+#include "instance_detail.hpp"
+
+#include <algorithm>
 
 namespace kumquatpath
 {
@@ -7,7 +8,9 @@
 {
 
 /// The time that peers and the fabric get to hear that an instance is leaving.
-constexpr duration leaving_notice = std::chrono::seconds(3);
+constexpr duration leaving_notice = std::chrono::milliseconds(3500);
+/// A graceful stop waits at most this long for the roster to go on without this instance.
+constexpr duration longest_leaving = std::chrono::seconds(10);
 /// Places of the table of unanswered requests that are looked at in one tick.
 constexpr std::size_t expiry_steps = 4096;
 
@@ -23,6 +26,7 @@
     heartbeat message;
     message.generation = state.in_force ? state.in_force->generation : generation{};
     message.switched = state.router.switched;
+    message.roster = announced_version(state.roster);
     message.members = take_digests(state.members);
     message.usages = usages(state.admission, now);
     return message;
@@ -35,6 +39,7 @@
     {
         return;
     }
+    append_fellow_holders(state, receivers);
     const heartbeat common = make_heartbeat(state, now);
     for (const instance_id each : receivers)
     {
@@ -77,12 +82,22 @@
 
 } // namespace
 
-instance_state make_instance(const instance_options& options)
+instance_state make_instance(const instance_options& options, time_point now)
 {
+    const instance_id self = options.self.instance;
+    const lease_token token{mix(self.value, options.self.incarnation.value)};
     return {.options = options,
             .members = make_membership(options.self, options.membership),
             .router = make_flow_router(router_options(options)),
-            .inflight = make_inflight_table(options.most_inflight)};
+            .inflight = make_inflight_table(options.most_inflight),
+            .roster = start_roster_view(options.roster, self, now),
+            .leader = start_roster_leader(options.leader, token),
+            .submissions = {.options = options.submissions}};
+}
+
+bool may_claim(const instance_state& state, time_point now)
+{
+    return may_decide(state.roster, now);
 }
 
 bool adopt_configuration(instance_state& state, std::shared_ptr<const configuration> next,
@@ -120,9 +135,12 @@
 
 bool has_left(const instance_state& state, time_point now)
 {
-    const bool has_handed_on = state.router.outbox.empty();
-    return state.is_leaving && has_handed_on && state.inflight.used == 0 &&
-           now - state.leaving_since >= leaving_notice;
+    const duration taken = now - state.leaving_since;
+    const bool is_idle = state.router.outbox.empty() && state.inflight.used == 0;
+    // The vote of a holder is missed less once the roster has gone on without it; while
+    // the platform is away that does not happen, so the wait is bounded.
+    const bool is_free = may_leave(state.roster, now) || taken >= longest_leaving;
+    return state.is_leaving && is_idle && is_free && taken >= leaving_notice;
 }
 
 void tick(instance_state& state, wall_time wall, time_point now, action_list& actions)
@@ -131,6 +149,7 @@
     send_heartbeats(state, now, actions);
     spread_view(state, now, actions);
     tick(state.router, wall, now, actions);
+    tick_claims(state, now, actions);
 }
 
 } // namespace kumquatpath
--- a/src/decision/instance_packets.cpp
+++ b/src/decision/instance_packets.cpp
@@ -1,8 +1,7 @@
 /// \file
 /// The way of a packet through one instance: placed, admitted, remembered, sent.
 
-#include <kumquatpath/decision/instance.hpp>
-#include <kumquatpath/decision/invariant.hpp>
+#include "instance_detail.hpp"
 
 #include <algorithm>
 
@@ -14,22 +13,6 @@
 /// The deadline of a request whose class the configuration does not know.
 constexpr duration default_deadline = std::chrono::seconds(2);
 
-bool expects_answer(packet_kind kind)
-{
-    return kind == packet_kind::open || kind == packet_kind::data;
-}
-
-const traffic_class* class_of(const instance_state& state, class_id id)
-{
-    if (!state.in_force)
-    {
-        return nullptr;
-    }
-    const auto& classes = state.in_force->classes;
-    const auto found = std::ranges::find(classes, id, &traffic_class::id);
-    return found == classes.end() ? nullptr : &*found;
-}
-
 duration deadline_of(const instance_state& state, const packet_header& header)
 {
     if (header.deadline.count() > 0)
@@ -59,38 +42,6 @@
     route_packet(state.router, {.header = closing}, now, unsent);
 }
 
-/// Decides whether a request that was placed may be sent, and remembers it if so.
-refusal_reason admit_send(instance_state& state, const send_to_target& order,
-                          time_point now)
-{
-    const packet_header& header = order.header;
-    if (find_inflight(state.inflight, header.flow, header.request) != nullptr)
-    {
-        // A copy of a request on its way occupies nothing more.
-        return refusal_reason::none;
-    }
-    const admission_result result = admit(state.admission, header, order.target, now);
-    if (!result.admitted)
-    {
-        return result.reason;
-    }
-    const bool is_remembered =
-        remember_inflight(state.inflight, {.flow = header.flow,
-                                           .request = header.request,
-                                           .sent_at = now,
-                                           .expires_at = now + deadline_of(state, header),
-                                           .service = header.service,
-                                           .tenant = header.tenant,
-                                           .traffic_class = header.traffic_class,
-                                           .work = result.work});
-    if (!is_remembered)
-    {
-        note_finished(state.admission, result.work, request_end::dropped, {}, now);
-        return refusal_reason::table_full;
-    }
-    return refusal_reason::none;
-}
-
 /// Puts admission between placement and sending, for every action from \p first on.
 void admit_sends(instance_state& state, std::size_t first, time_point now,
                  action_list& actions)
@@ -102,7 +53,8 @@
         {
             continue;
         }
-        const refusal_reason reason = admit_send(state, *order, now);
+        const refusal_reason reason =
+            admit_send(state, order->header, order->target, now);
         if (reason == refusal_reason::none)
         {
             continue;
@@ -136,6 +88,20 @@
     return keeper_of(view_of(state.members), header.flow.value, 0);
 }
 
+void decide_packet(instance_state& state, const packet_header& header,
+                   payload_view payload, instance_id from, time_point now,
+                   action_list& actions)
+{
+    const bool carries_request =
+        expects_answer(header.kind) || header.kind == packet_kind::cancel;
+    if (carries_request && is_submission(state, header))
+    {
+        decide_submission(state, header, payload, now, actions);
+        return;
+    }
+    route(state, header, payload, from, now, actions);
+}
+
 request_end end_of(const packet_header& header)
 {
     return header.kind == packet_kind::answer ? request_end::answered
@@ -171,6 +137,48 @@
 
 } // namespace
 
+const traffic_class* class_of(const instance_state& state, class_id id)
+{
+    if (!state.in_force)
+    {
+        return nullptr;
+    }
+    const auto& classes = state.in_force->classes;
+    const auto found = std::ranges::find(classes, id, &traffic_class::id);
+    return found == classes.end() ? nullptr : &*found;
+}
+
+/// Decides whether a request that was placed may be sent, and remembers it if so.
+refusal_reason admit_send(instance_state& state, const packet_header& header,
+                          target_id target, time_point now)
+{
+    if (find_inflight(state.inflight, header.flow, header.request) != nullptr)
+    {
+        // A copy of a request on its way occupies nothing more.
+        return refusal_reason::none;
+    }
+    const admission_result result = admit(state.admission, header, target, now);
+    if (!result.admitted)
+    {
+        return result.reason;
+    }
+    const bool is_remembered =
+        remember_inflight(state.inflight, {.flow = header.flow,
+                                           .request = header.request,
+                                           .sent_at = now,
+                                           .expires_at = now + deadline_of(state, header),
+                                           .service = header.service,
+                                           .tenant = header.tenant,
+                                           .traffic_class = header.traffic_class,
+                                           .work = result.work});
+    if (!is_remembered)
+    {
+        note_finished(state.admission, result.work, request_end::dropped, {}, now);
+        return refusal_reason::table_full;
+    }
+    return refusal_reason::none;
+}
+
 void decide_caller_packet(instance_state& state, const packet_header& header,
                           payload_view payload, time_point now, action_list& actions)
 {
@@ -182,7 +190,10 @@
             pass_to_peer{.peer = *peer, .header = passed, .payload = payload});
         return;
     }
-    route(state, header, payload, {}, now, actions);
+    packet_header whole = header;
+    whole.deadline =
+        std::chrono::duration_cast<std::chrono::microseconds>(deadline_of(state, header));
+    decide_packet(state, whole, payload, {}, now, actions);
 }
 
 void decide_passed_packet(instance_state& state, instance_id sender,
@@ -190,7 +201,7 @@
                           time_point now, action_list& actions)
 {
     note_heard(state.members, sender, now);
-    route(state, header, payload, sender, now, actions);
+    decide_packet(state, header, payload, sender, now, actions);
 }
 
 void decide_target_packet(instance_state& state, target_id sender,
@@ -210,6 +221,12 @@
         note_answer(state.router, key, sender, now);
     }
     finish(state, header, now);
+    if (state.submissions.by_key.contains(key_of(header)))
+    {
+        receive_submission_answer(state.submissions, sender, header, payload, now,
+                                  actions);
+        return;
+    }
     actions.push_back(send_to_caller{.header = header, .payload = payload});
 }
 
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -129,6 +129,24 @@
             .roster = {body.roster()}};
 }
 
+std::vector<instance_id> from_wire(const flatbuffers::Vector<std::uint32_t>* list)
+{
+    std::vector<instance_id> instances;
+    for (std::uint32_t i = 0; list != nullptr && i < list->size(); ++i)
+    {
+        instances.push_back({list->Get(i)});
+    }
+    return instances;
+}
+
+roster_news from_wire(const wire::RosterNews& body)
+{
+    return {.version = {body.version()},
+            .holders = from_wire(body.holders()),
+            .previous = from_wire(body.previous()),
+            .store_word_age = std::chrono::milliseconds(body.store_word_age_ms())};
+}
+
 passed_packet from_wire(const wire::Forwarded& body)
 {
     if (body.packet() == nullptr)
@@ -158,6 +176,14 @@
                                       .flow = {hint.flow()},
                                       .target = {hint.target()}});
     }
+    case wire::PeerBody::FlowQuery:
+    {
+        const auto& query = *message.body_as_FlowQuery();
+        return peer_message(
+            flow_query{.service = {query.service()}, .flow = {query.flow()}});
+    }
+    case wire::PeerBody::RosterNews:
+        return peer_message(from_wire(*message.body_as_RosterNews()));
     case wire::PeerBody::FlowListing:
         return peer_message(from_wire(*message.body_as_FlowListing()));
     case wire::PeerBody::ListingRequest:
@@ -229,6 +255,29 @@
                                             body.target.value));
     }
 
+    offset operator()(const flow_query& body)
+    {
+        return written(
+            wire::PeerBody::FlowQuery,
+            wire::CreateFlowQuery(builder, body.service.value, body.flow.value));
+    }
+
+    auto instances(const std::vector<instance_id>& list)
+    {
+        return builder.CreateVector<std::uint32_t>(list.size(), [&](std::size_t i)
+                                                   { return list[i].value; });
+    }
+
+    offset operator()(const roster_news& body)
+    {
+        const auto holders = instances(body.holders);
+        const auto previous = instances(body.previous);
+        return written(wire::PeerBody::RosterNews,
+                       wire::CreateRosterNews(
+                           builder, body.version.value, holders, previous,
+                           static_cast<std::uint32_t>(body.store_word_age.count())));
+    }
+
     offset operator()(const flow_listing& body)
     {
         const auto entries = builder.CreateVectorOfStructs<wire::FlowEntry>(
