--- a/bench/capacity/admission.cpp
+++ b/bench/capacity/admission.cpp
@@ -72,12 +72,14 @@
 void measure_admission(ledger& book)
 {
     std::vector<cost_point> by_lanes;
+    by_lanes.reserve(lane_counts.size());
     for (const std::size_t lanes : lane_counts)
     {
         by_lanes.push_back({static_cast<double>(lanes),
                             time_to_admit(with_lanes(lanes, 11), lanes, book.seed())});
     }
     std::vector<cost_point> by_targets;
+    by_targets.reserve(target_counts.size());
     for (const std::size_t count : target_counts)
     {
         by_targets.push_back({static_cast<double>(count),
--- a/bench/capacity/claims.cpp
+++ b/bench/capacity/claims.cpp
@@ -53,6 +53,7 @@
 void measure_claims(ledger& book)
 {
     std::vector<cost_point> points;
+    points.reserve(record_counts.size());
     for (const std::size_t held : record_counts)
     {
         points.push_back({static_cast<double>(held), time_to_record(held, book.seed())});
--- a/bench/capacity/packets.cpp
+++ b/bench/capacity/packets.cpp
@@ -20,7 +20,8 @@
 {
 
 constexpr std::array<std::size_t, 4> payload_sizes = {0, 128, 512, 1200};
-constexpr std::array<std::size_t, 4> flow_counts = {10'000, 100'000, 500'000, 2'000'000};
+constexpr std::array<std::size_t, 7> flow_counts = {10'000,  30'000,    100'000,  200'000,
+                                                    500'000, 1'000'000, 2'000'000};
 constexpr std::size_t compared_flow_count = 500'000;
 constexpr std::size_t codec_rounds = 15;
 constexpr std::size_t codec_calls = 20'000;
--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -20,9 +20,14 @@
 };
 
 constexpr std::array sections = {
-    section{"packets", measure_packets},     section{"admission", measure_admission},
-    section{"placement", measure_placement}, section{"members", measure_members},
-    section{"keepers", measure_keepers},     section{"claims", measure_claims},
+    section{"packets", measure_packets},
+    section{"admission", measure_admission},
+    section{"placement", measure_placement},
+    section{"members", measure_members},
+    section{"keepers", measure_keepers},
+    section{"claims", measure_claims},
+    section{"configuration", measure_configuration},
+    section{"events", measure_events},
 };
 
 } // namespace
