--- a/bench/capacity/configuration.cpp
+++ b/bench/capacity/configuration.cpp
@@ -12,6 +12,7 @@
 #include <capacity/bytes_on_wire.hpp>
 #include <capacity/sections.hpp>
 #include <capacity/target_size.hpp>
+#include <malloc.h>
 
 #include <array>
 #include <optional>
@@ -118,11 +119,22 @@
         });
 }
 
-/// The document alone and what is stored, by the count of targets.
+/// Returns the bytes of the heap that the checked configuration in \p text takes.
+double bytes_in_memory(const std::string& text)
+{
+    const std::size_t before = mallinfo2().uordblks;
+    const auto held = successful([&] { return read_envelope(text); });
+    keep(held);
+    return static_cast<double>(mallinfo2().uordblks - before);
+}
+
+/// What is stored, the time to read it and the memory it takes, by the count of targets.
 void measure_size(ledger& book)
 {
+    std::vector<cost_point> memory;
     std::vector<cost_point> bytes;
     std::vector<cost_point> times;
+    memory.reserve(target_counts.size());
     bytes.reserve(target_counts.size());
     times.reserve(target_counts.size());
     for (const std::size_t count : target_counts)
@@ -139,11 +151,13 @@
         const double time =
             nanoseconds_per_call(5, 1, [&] { keep(read_envelope(*text)); });
         bytes.push_back({static_cast<double>(count), static_cast<double>(text->size())});
+        memory.push_back({static_cast<double>(count), bytes_in_memory(*text)});
         times.push_back({static_cast<double>(count), time / nanoseconds_per_millisecond});
     }
     const cost_line line =
         book.add_line({"configuration/stored", "target", "bytes"}, bytes);
     book.add_line({"configuration/read", "target", "ms"}, times);
+    book.add_line({"configuration/memory", "target", "bytes"}, memory);
     book.tell_bounded("configuration/at_target", "bytes stored at 5400 targets",
                       line.at(targets), "bytes", largest_platform_bytes);
 }
--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -44,5 +44,9 @@
             each.measure(book);
         }
     }
+    if (options.variant.empty())
+    {
+        work_out_roles(book);
+    }
     return out.exit_code();
 }
