--- a/src/daemon/snapshot_text.cpp
+++ b/src/daemon/snapshot_text.cpp
@@ -39,26 +39,36 @@
             {"counts", json::array(histogram.counts.begin(), histogram.counts.end())}};
 }
 
+/// Appends one sample line: a name, its labels and its value.
+void append_sample(std::string& text, std::string_view name, std::string_view labels,
+                   std::uint64_t value)
+{
+    text.append("kumquatpath_answer_seconds_").append(name);
+    text.append("{").append(labels).append("} ");
+    text.append(std::to_string(value)).append("\n");
+}
+
 /// Appends the buckets of one histogram, which Prometheus wants cumulative.
 void append_buckets(std::string& text, const histogram_copy& histogram)
 {
-    const std::string labels = "service=\"" + histogram.service + "\",tenant=\"" +
-                               histogram.tenant + "\",class=\"" +
-                               histogram.traffic_class + "\"";
     constexpr double microseconds_per_second = 1e6;
+    std::string labels = "service=\"";
+    labels.append(histogram.service).append("\",tenant=\"");
+    labels.append(histogram.tenant).append("\",class=\"");
+    labels.append(histogram.traffic_class).append("\"");
     std::uint64_t total = 0;
     for (std::size_t i = 0; i < histogram.counts.size(); ++i)
     {
         total += histogram.counts[i];
         const bool has_bound = i < histogram.bounds.size();
-        const std::string bound =
-            has_bound ? std::to_string(histogram.bounds[i] / microseconds_per_second)
+        std::string bucket = labels + ",le=\"";
+        bucket += has_bound
+                      ? std::to_string(histogram.bounds[i] / microseconds_per_second)
                       : "+Inf";
-        text += "kumquatpath_answer_seconds_bucket{" + labels + ",le=\"" + bound +
-                "\"} " + std::to_string(total) + "\n";
+        bucket += '"';
+        append_sample(text, "bucket", bucket, total);
     }
-    text += "kumquatpath_answer_seconds_count{" + labels + "} " + std::to_string(total) +
-            "\n";
+    append_sample(text, "count", labels, total);
 }
 
 } // namespace
--- a/src/decision/instance_claims.cpp
+++ b/src/decision/instance_claims.cpp
@@ -46,15 +46,14 @@
     {
         return near;
     }
-    const auto score = [](const member& each)
+    // Members that are there come before dead ones, and each kind in the order of its
+    // scores.
+    const auto rank = [](const member& each)
     {
-        return mix(holder_seed, each.instance.value);
+        const bool is_there = each.state != member_state::dead;
+        return std::pair(is_there, mix(holder_seed, each.instance.value));
     };
-    const auto present =
-        std::ranges::stable_partition(near.members, [](const member& each)
-                                      { return each.state != member_state::dead; });
-    std::ranges::sort(near.members.begin(), present.begin(), std::ranges::greater{},
-                      score);
+    std::ranges::sort(near.members, std::ranges::greater{}, rank);
     near.members.resize(most_holders);
     std::ranges::sort(near.members, {}, &member::instance);
     return near;
