Refuse a peer message whose body is missing

Cause: FlatBuffers' verifier accepts a union kind without its table; the decoder then read through a null pointer. A peer with the right key, or a fault in one, could end an instance. Ruled out: a fault of the fuzz runner (the same bytes crash the decoder alone). Change: a message without a body is malformed. The test builds such a message and signs it.

--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -165,6 +165,11 @@
 
 boost::leaf::result<peer_body> body_of(const wire::PeerMessage& message)
 {
+    // The verifier accepts a kind whose table is missing.
+    if (message.body() == nullptr)
+    {
+        return boost::leaf::new_error(drop_reason::malformed);
+    }
     switch (message.body_type())
     {
     case wire::PeerBody::Heartbeat:
--- a/test/edge/peer_codec_test.cpp
+++ b/test/edge/peer_codec_test.cpp
@@ -3,6 +3,9 @@
 
 #include <kumquatpath/edge/peer_codec.hpp>
 
+#include <peer_generated.h>
+#include <sodium.h>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpath;
@@ -81,3 +84,19 @@
     CHECK_FALSE(parse_peer_key("00ff").has_value());
     CHECK_TRUE(parse_peer_key(std::string(64, 'a')).has_value());
 }
+
+TEST(peer_codec, refuses_a_kind_whose_body_is_missing)
+{
+    wire::PeerMessageBuilder message(builder);
+    message.add_version(peer_version);
+    message.add_body_type(wire::PeerBody::Heartbeat);
+    wire::FinishPeerMessageBuffer(builder, message.Finish());
+    const auto bytes = std::span(builder.GetBufferPointer(), builder.GetSize());
+    std::vector<std::byte> signed_bytes(16);
+    crypto_generichash(reinterpret_cast<unsigned char*>(signed_bytes.data()), 16,
+                       bytes.data(), bytes.size(), key.data(), key.size());
+    const auto rest = std::as_bytes(bytes);
+    signed_bytes.insert(signed_bytes.end(), rest.begin(), rest.end());
+
+    CHECK_FALSE(decode_peer(signed_bytes, key, longest_peer_datagram).has_value());
+}
