Give votes in advance under a flood, so that refusals are known not to run

Cause: a claim costs about 370 bytes.

Ruled out: a claim for each refusal (35 KB a second by the same slope); batches of claims (at 12 refusals a second for each peer a batch needs a second to fill); a refusal without a majority (a copy may run elsewhere, so "not run" would be a guess); votes in advance at all times (when a coordinator dies, nobody decides its keys for up to 18 s, where a claim for each submission loses only those in progress).

Change: above an allowance of claims a coordinator asks the other holders for their votes on all keys of which it is the first holder, for 4 s at a time. A holder that votes gives no record of such a key to others until everything that may have been decided has expired; it does not vote while a record of another coordinator stands, or while the roster is joint or new.

--- a/bench/retry_instance.hpp
+++ b/bench/retry_instance.hpp
@@ -157,6 +157,10 @@
     {
         receive_claim(which.submissions.records, which.roster, from, wanted,
                       all.queue.now(), actions);
+        if (all.options.variant == submission_variant::claims_no_kept_votes)
+        {
+            which.submissions.records.granted.clear();
+        }
     }
     else
     {
--- a/bench/retry_world.hpp
+++ b/bench/retry_world.hpp
@@ -34,6 +34,8 @@
     claims_no_joint,
     /// Claims, but an instance that hears no majority goes on.
     claims_no_view_lease,
+    /// Claims, but a holder that voted in advance serves other coordinators as well.
+    claims_no_kept_votes,
 };
 
 /// The load and the faults of one run.
@@ -56,8 +58,8 @@
     double renamed = 0.1;
     /// See roster_options; short enough that a run sees it pass.
     duration store_lease = std::chrono::seconds{90};
-    /// See submission_options; so many that every refusal is claimed.
-    double claimed_refusals_per_second = 100;
+    /// See submission_options; so many that no votes are asked for in advance.
+    double claims_per_second = 100;
     /// False takes the store away for all of the load's time.
     bool has_store = true;
 };
--- a/include/kumquatpath/decision/roster.hpp
+++ b/include/kumquatpath/decision/roster.hpp
@@ -51,6 +51,8 @@
     duration store_lease = std::chrono::hours{2};
     /// The longest time in which a copy of one submission may still arrive.
     duration longest_keep = std::chrono::seconds{14};
+    /// How long the advance vote of a holder counts at most; see claim.hpp.
+    duration vote_lease = std::chrono::seconds{4};
     /// How long a version stays joint once a majority of the old holders follows it: more
     /// than the view lease, the longest keep and the longest delay of a message together.
     duration transition = std::chrono::seconds{20};
@@ -158,6 +160,9 @@
 /// Returns whether this instance still remembers every claim that it granted.
 bool has_whole_memory(const roster_view& view, time_point now);
 
+/// Returns whether this instance still remembers every vote that it gave in advance.
+bool remembers_advance_votes(const roster_view& view, time_point now);
+
 /// Returns whether a planned stop would take no vote away: the instance is a holder
 /// neither of the version in force nor, while that is joint, of the one before.
 bool may_leave(const roster_view& view, time_point now);
@@ -165,6 +170,10 @@
 /// Returns whether quorums need both the old and the new holders at \p now.
 bool is_joint(const roster_view& view, time_point now);
 
+/// Returns the first of \p holders for \p key; nothing when there are none.
+std::optional<instance_id> first_holder(const std::vector<instance_id>& holders,
+                                        const submission_key& key);
+
 /// Returns the holders of \p key at \p now, by rendezvous hashing.
 holder_sets holders_of(const roster_view& view, const submission_key& key,
                        time_point now);
--- a/include/kumquatpath/decision/submission.hpp
+++ b/include/kumquatpath/decision/submission.hpp
@@ -52,9 +52,16 @@
     std::size_t most_waiting_bytes = std::size_t{4} << 20U;
     /// The most bytes of answers kept for copies.
     std::size_t most_answer_bytes = std::size_t{4} << 20U;
-    /// Early refusals a second that are claimed, so that they can be told as "not run".
-    /// Those beyond are told as "unknown", so a flood does not grow the control traffic.
-    double claimed_refusals_per_second = 5;
+    /// Claims a second that an instance makes before it asks for votes in advance. Early
+    /// refusals beyond are told as "unknown" until it has them, so a flood does not grow
+    /// the control traffic.
+    double claims_per_second = 14;
+    /// How long votes in advance are asked for once there were too many claims, and how
+    /// often.
+    duration advance_period = std::chrono::seconds{10};
+    duration advance_interval = std::chrono::milliseconds{1500};
+    /// In a larger roster no votes are asked for in advance: every holder is asked.
+    std::size_t most_advance_holders = 16;
 };
 
 /// How far the coordinator is with a submission.
@@ -97,6 +104,26 @@
     std::optional<kept_answer> answer;
 };
 
+/// What a coordinator knows of the votes that one holder gave it in advance.
+struct advance_vote
+{
+    instance_id holder;
+    roster_version version;
+    time_point valid_until{};
+};
+
+/// The votes that a coordinator has in advance.
+struct advance_votes
+{
+    std::vector<advance_vote> votes;
+    /// The latest request for them.
+    request_id sequence;
+    time_point asked_at{};
+    /// When to ask again, and until when they are wanted.
+    time_point next_ask{};
+    time_point wanted_until{};
+};
+
 /// The submissions and the claims of one instance.
 struct submission_state
 {
@@ -109,8 +136,9 @@
     std::vector<std::byte> in_transit;
     std::size_t waiting_bytes = 0;
     std::size_t answer_bytes = 0;
-    /// Refusals that may be claimed now, refilled as time passes.
-    double claimable_refusals = 0;
+    advance_votes advance;
+    /// Claims that may be made now, refilled as time passes.
+    double claims_allowed = 0;
     time_point refilled_at{};
 };
 
--- a/src/decision/roster.cpp
+++ b/src/decision/roster.cpp
@@ -117,8 +117,9 @@
     }
 }
 
+/// Returns the \p most best-ranked \p holders of \p key.
 std::vector<instance_id> ranked(const std::vector<instance_id>& holders,
-                                const submission_key& key)
+                                const submission_key& key, std::size_t most)
 {
     const std::uint64_t seed =
         mix(mix(key.service.value, key.flow.value), key.request.value);
@@ -128,7 +129,7 @@
     {
         scored.emplace_back(mix(seed, each.value), each);
     }
-    const std::size_t count = std::min(holders_per_key, scored.size());
+    const std::size_t count = std::min(most, scored.size());
     std::ranges::partial_sort(scored, scored.begin() + static_cast<std::ptrdiff_t>(count),
                               std::ranges::greater{});
     std::vector<instance_id> best;
@@ -225,6 +226,11 @@
     return now - view.started >= view.options.longest_keep;
 }
 
+bool remembers_advance_votes(const roster_view& view, time_point now)
+{
+    return now - view.started >= view.options.longest_keep + view.options.vote_lease;
+}
+
 bool may_be_stale(const roster_view& view, time_point now)
 {
     return now < view.deaf_until || now - view.last_tick > view.options.longest_gap;
@@ -252,12 +258,19 @@
     return !view.current.previous.empty() && !is_followed && !has_lapsed;
 }
 
+std::optional<instance_id> first_holder(const std::vector<instance_id>& holders,
+                                        const submission_key& key)
+{
+    const auto best = ranked(holders, key, 1);
+    return best.empty() ? std::nullopt : std::optional(best.front());
+}
+
 holder_sets holders_of(const roster_view& view, const submission_key& key, time_point now)
 {
-    holder_sets sets{.current = ranked(view.current.holders, key)};
+    holder_sets sets{.current = ranked(view.current.holders, key, holders_per_key)};
     if (is_joint(view, now))
     {
-        sets.previous = ranked(view.current.previous, key);
+        sets.previous = ranked(view.current.previous, key, holders_per_key);
     }
     return sets;
 }
--- a/src/decision/submission.cpp
+++ b/src/decision/submission.cpp
@@ -142,14 +142,19 @@
     entry->claim = open_ballot(context.roster.self, decision,
                                holders_of(context.roster, key_of(header), context.now));
     const claim own = claim_of(state, *entry, context);
-    const claim_record* stands = record_claim(state.records, own, context.now);
+    const claim_record* stands =
+        record_claim(state.records, context.roster, own, context.now);
     if (stands == nullptr)
     {
+        const bool is_full = state.records.by_key.size() >= state.records.bound;
         forget_submission(state, own.key);
-        tell_unknown(header, refusal_reason::table_full, actions);
+        tell_unknown(header,
+                     is_full ? refusal_reason::table_full : refusal_reason::no_quorum,
+                     actions);
         return nullptr;
     }
     note_vote(entry->claim, context.roster.self, *stands);
+    note_advance_votes(state, context, *entry);
     return entry;
 }
 
@@ -164,22 +169,6 @@
     }
 }
 
-/// Takes one claimed refusal out of the allowance; returns false when it is used up.
-bool take_claimed_refusal(submission_state& state, time_point now)
-{
-    const double rate = state.options.claimed_refusals_per_second;
-    const std::chrono::duration<double> passed = now - state.refilled_at;
-    state.claimable_refusals =
-        std::min(rate, state.claimable_refusals + rate * passed.count());
-    state.refilled_at = now;
-    if (state.claimable_refusals < 1)
-    {
-        return false;
-    }
-    state.claimable_refusals -= 1;
-    return true;
-}
-
 /// Does what is due for a submission that waits for votes.
 void tick_claim(submission_state& state, submission& entry,
                 const submission_context& context, action_list& actions)
@@ -217,6 +206,10 @@
     }
     keep_payload(state, *entry, payload);
     entry->target = target;
+    if (!is_won(entry->claim))
+    {
+        take_claim(state, context.now);
+    }
     start_asking(state, *entry, context, actions);
 }
 
@@ -224,7 +217,8 @@
                        const packet_header& header, refusal_reason reason,
                        action_list& actions)
 {
-    if (!take_claimed_refusal(state, context.now))
+    const bool is_won = is_won_in_advance(state, context, key_of(header));
+    if (!is_won && !take_claim(state, context.now))
     {
         tell_unknown(header, reason, actions);
         return;
@@ -242,6 +236,11 @@
 void receive_claim_reply(submission_state& state, const submission_context& context,
                          instance_id from, const claim_reply& reply, action_list& actions)
 {
+    if (is_every_key(reply.key))
+    {
+        receive_advance_vote(state, context, from, reply);
+        return;
+    }
     submission* entry = find_submission(state, reply.key);
     if (entry == nullptr || !reply.valid || entry->stage != submission_stage::claiming)
     {
@@ -256,6 +255,7 @@
                       action_list& actions)
 {
     expire_records(state.records, context.now);
+    ask_in_advance(state, context, actions);
     while (!state.agenda.empty() && state.agenda.begin()->first <= context.now)
     {
         const submission_key key = state.agenda.begin()->second;
--- a/src/decision/submission_table.hpp
+++ b/src/decision/submission_table.hpp
@@ -47,6 +47,26 @@
 /// Returns whether \p which seems alive.
 bool is_alive(const member_view& members, instance_id which);
 
+/// Takes one claim out of the allowance. Returns false when it is used up, and then wants
+/// votes in advance.
+bool take_claim(submission_state& state, time_point now);
+
+/// Returns whether the claim of \p key is won by votes in advance.
+bool is_won_in_advance(const submission_state& state, const submission_context& context,
+                       const submission_key& key);
+
+/// Notes the votes that were given in advance on the claim of \p entry.
+void note_advance_votes(const submission_state& state, const submission_context& context,
+                        submission& entry);
+
+/// Asks the other holders for votes in advance when they are wanted.
+void ask_in_advance(submission_state& state, const submission_context& context,
+                    action_list& actions);
+
+/// Takes a holder's reply to ask_in_advance().
+void receive_advance_vote(submission_state& state, const submission_context& context,
+                          instance_id from, const claim_reply& reply);
+
 /// Goes on with a claiming submission as far as its votes allow: sends it, or ends it.
 void advance(submission_state& state, submission& entry,
              const submission_context& context, action_list& actions);
