--- /dev/null
+++ b/src/client/client.cpp
@@ -0,0 +1,289 @@
+#include "client/client.hpp"
+
+#include "client/commands.hpp"
+#include "client/failure.hpp"
+#include "client/fleet.hpp"
+#include "client/fleet_metrics.hpp"
+#include "client/queries.hpp"
+#include "client/verb_table.hpp"
+
+#include <kumquatpath/edge/platform_client.hpp>
+#include <kumquatpath/model/configuration_check.hpp>
+
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <limits>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace kumquatpath
+{
+namespace
+{
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+/// What a verb works with.
+struct client_context
+{
+    const command_options& options;
+    std::ostream& out;
+    std::ostream& errors;
+};
+
+/// How long one instance may take to answer.
+constexpr std::chrono::milliseconds ask_timeout{1000};
+/// How often --wait asks the instances.
+constexpr std::chrono::milliseconds poll_interval{250};
+
+wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+/// Returns a random text that tells this submission from every other.
+std::string new_submission()
+{
+    std::random_device source;
+    std::ostringstream text;
+    constexpr int words = 4;
+    for (int i = 0; i < words; ++i)
+    {
+        text << std::hex << source();
+    }
+    return text.str();
+}
+
+leaf::result<std::string> read_file(const std::string& name)
+{
+    if (name == "-")
+    {
+        return std::string(std::istreambuf_iterator<char>(std::cin), {});
+    }
+    std::ifstream file(name, std::ios::binary);
+    std::string text(std::istreambuf_iterator<char>(file), {});
+    if (!file.is_open() || file.bad())
+    {
+        return leaf::new_error(unreadable_file{name});
+    }
+    return text;
+}
+
+leaf::result<endpoint> platform_address(const command_options& options)
+{
+    if (options.platform.empty())
+    {
+        return leaf::new_error(usage_fault{
+            "--platform", "Give the platform's address, or set KUMQUATPATH_PLATFORM."});
+    }
+    return leaf::try_handle_some(
+        [&] { return parse_endpoint(options.platform); },
+        [](const malformed_endpoint& fault) -> leaf::result<endpoint>
+        {
+            return leaf::new_error(usage_fault{fault.text,
+                                               "Write the platform's address like "
+                                               "\"127.0.0.1:8500\"."});
+        });
+}
+
+leaf::result<exit_code> run_check(const client_context& context)
+{
+    BOOST_LEAF_AUTO(text, read_file(context.options.file));
+    BOOST_LEAF_CHECK(check_document(text));
+    if (context.options.json)
+    {
+        context.out << json::serialize(json::object{{"faults", json::array()}}) << '\n';
+    }
+    else
+    {
+        context.out << context.options.file << ": no fault found\n";
+    }
+    return exit_code::success;
+}
+
+leaf::result<publication> run_edit(const client_context& context, key_value_store& store)
+{
+    const command_options& options = context.options;
+    const submitter by{
+        .author = options.author, .submission = new_submission(), .now = wall_now()};
+    switch (options.verb)
+    {
+    case verb::drain:
+        return change_state(store, {options.kind, options.name}, by);
+    case verb::undrain:
+        return change_state(
+            store, {options.kind, options.name, administrative_state::active}, by);
+    case verb::rollback:
+        return roll_back(store, *options.generation, by);
+    default:
+        break;
+    }
+    BOOST_LEAF_AUTO(text, read_file(options.file));
+    return apply(store, text, options.base, by);
+}
+
+void tell(const client_context& context, const publication& result)
+{
+    if (context.options.json)
+    {
+        context.out << json::serialize(
+                           json::object{{"generation", result.published.value},
+                                        {"published", result.is_new},
+                                        {"merged", result.was_merged},
+                                        {"read_back", result.was_read_back}})
+                    << '\n';
+        return;
+    }
+    if (!result.is_new)
+    {
+        context.out << "Nothing to change: generation " << result.published.value
+                    << " already says so.\n";
+        return;
+    }
+    if (result.was_read_back)
+    {
+        context.out << "The platform's answer was lost; reading back shows that the "
+                       "submission took effect.\n";
+    }
+    if (result.was_merged)
+    {
+        context.out << "Changes that others made to other objects meanwhile are kept.\n";
+    }
+    context.out << "Published generation " << result.published.value << ".\n";
+}
+
+leaf::result<std::vector<instance_status>> read_fleet(key_value_store& store)
+{
+    BOOST_LEAF_AUTO(instances, store.instances());
+    return read_statuses(ask_instances(instances, "/v1/status", ask_timeout));
+}
+
+/// Waits until every instance that can be reached has \p wanted in force.
+exit_code wait_until_in_force(const client_context& context, key_value_store& store,
+                              generation wanted)
+{
+    std::ostream& out = context.options.json ? context.errors : context.out;
+    const auto end = std::chrono::steady_clock::now() + context.options.timeout;
+    std::size_t told = std::numeric_limits<std::size_t>::max();
+    while (true)
+    {
+        const auto progress = leaf::try_handle_all(
+            [&]() -> leaf::result<std::optional<generation_progress>>
+            {
+                BOOST_LEAF_AUTO(statuses, read_fleet(store));
+                return std::optional(progress_of(statuses, wanted));
+            },
+            [] { return std::optional<generation_progress>(); });
+        const bool is_over = std::chrono::steady_clock::now() >= end;
+        const bool is_done = progress && is_complete(*progress);
+        if (progress && (progress->in_force != told || is_over || is_done))
+        {
+            print_progress(out, *progress, wanted);
+            told = progress->in_force;
+        }
+        if (is_done || is_over)
+        {
+            return is_done ? exit_code::success : exit_code::not_in_force;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+}
+
+leaf::result<exit_code> run_command(const client_context& context, key_value_store& store)
+{
+    BOOST_LEAF_AUTO(result, run_edit(context, store));
+    tell(context, result);
+    if (context.options.wait)
+    {
+        return wait_until_in_force(context, store, result.published);
+    }
+    return exit_code::success;
+}
+
+leaf::result<exit_code> run_status(const client_context& context, key_value_store& store)
+{
+    BOOST_LEAF_AUTO(current, read_current(store));
+    const generation in_force = current ? current->envelope.generation : generation{};
+    BOOST_LEAF_AUTO(statuses, read_fleet(store));
+    print_status(context.out, statuses, in_force, context.options.json);
+    const generation_progress progress = progress_of(statuses, in_force);
+    const bool is_whole = progress.behind.empty() && progress.unreachable.empty();
+    return is_whole ? exit_code::success : exit_code::refused;
+}
+
+leaf::result<exit_code> run_query(const client_context& context, key_value_store& store)
+{
+    const command_options& options = context.options;
+    switch (options.verb)
+    {
+    case verb::show:
+    {
+        BOOST_LEAF_AUTO(envelope, show(store, options.generation));
+        print_show(context.out, envelope, options.json);
+        break;
+    }
+    case verb::diff:
+    {
+        BOOST_LEAF_AUTO(text, read_file(options.file));
+        BOOST_LEAF_AUTO(found, diff(store, text));
+        print_diff(context.out, found, options.json);
+        break;
+    }
+    case verb::history:
+    {
+        BOOST_LEAF_AUTO(lines, history(store, options.last));
+        print_history(context.out, lines, options.json);
+        break;
+    }
+    case verb::metrics:
+    {
+        BOOST_LEAF_AUTO(instances, store.instances());
+        print_metrics(context.out,
+                      add_up(ask_instances(instances, "/v1/metrics.json", ask_timeout)),
+                      options.json);
+        break;
+    }
+    default:
+        return run_status(context, store);
+    }
+    return exit_code::success;
+}
+
+leaf::result<exit_code> run_verb(const client_context& context)
+{
+    if (context.options.verb == verb::check)
+    {
+        return run_check(context);
+    }
+    BOOST_LEAF_AUTO(address, platform_address(context.options));
+    platform_client store({.server = address});
+    return is_command(context.options.verb) ? run_command(context, store)
+                                            : run_query(context, store);
+}
+
+} // namespace
+
+exit_code run_client(const std::vector<std::string>& arguments,
+                     const command_environment& environment, std::ostream& out,
+                     std::ostream& errors)
+{
+    const bool json = std::ranges::find(arguments, "--json") != arguments.end();
+    return run_and_tell(
+        [&]() -> leaf::result<exit_code>
+        {
+            BOOST_LEAF_AUTO(options, read_command_line(arguments, environment));
+            return run_verb({options, out, errors});
+        },
+        {.out = out, .errors = errors, .json = json});
+}
+
+} // namespace kumquatpath
