Ask holders for their version, and hold to the store lease

Cause: membership sends a heartbeat to three successors and one instance at random, so an instance does not hear a majority of the roster within the view lease from heartbeats alone. And a unit test that was written for it showed that the store lease was never checked: the rule stood in the header and in the end of the joint time, but not in may_decide().

Ruled out: heartbeats to everybody (they grow with the fleet); the roster's version in the digests that travel on (a third instance's word is not the holder's own).

A suspected holder is treated as a silent one.

--- a/bench/retry_run.hpp
+++ b/bench/retry_run.hpp
@@ -149,7 +149,9 @@
     which.roster.last_tick = now;
     which.members = {.self = id, .members = {{.instance = id, .since = now}}};
     const lease_token token{(std::uint64_t{id.value} << 32U) | which.incarnation};
-    which.leader = start_roster_leader({}, token);
+    const duration refresh =
+        std::min<duration>(std::chrono::seconds{60}, all.options.store_lease / 4);
+    which.leader = start_roster_leader({.refresh = refresh}, token);
     which.submissions.options.claims_per_second = all.options.claims_per_second;
 }
 
--- a/src/decision/claim.cpp
+++ b/src/decision/claim.cpp
@@ -84,8 +84,9 @@
                             instance_id from, const claim& wanted, time_point now)
 {
     claim_reply reply{
-        .key = wanted.key, .coordinator = from, .roster = view.current.version};
-    reply.valid = may_vote_in_advance(records, view, from, wanted, now);
+        .key = wanted.key, .coordinator = from, .roster = announced_version(view)};
+    reply.valid =
+        wanted.keep.count() > 0 && may_vote_in_advance(records, view, from, wanted, now);
     if (reply.valid)
     {
         granted_votes& votes = records.granted[view.current.version];
@@ -99,7 +100,7 @@
 claim_reply reply_to(claim_records& records, const roster_view& view, const claim& wanted,
                      time_point now)
 {
-    claim_reply reply{.key = wanted.key, .roster = view.current.version};
+    claim_reply reply{.key = wanted.key, .roster = announced_version(view)};
     const bool may_hold = has_whole_memory(view, now) &&
                           wanted.keep <= view.options.longest_keep &&
                           is_acceptable(view, wanted.roster, now);
--- a/src/decision/roster_change.cpp
+++ b/src/decision/roster_change.cpp
@@ -22,7 +22,7 @@
         return now - view.started < options.remove_after;
     }
     return found->state == member_state::alive ||
-           (found->state == member_state::dead &&
+           (found->state != member_state::leaving &&
             now - found->last_heard < options.remove_after);
 }
 
--- a/src/decision/roster_leader.cpp
+++ b/src/decision/roster_leader.cpp
@@ -46,7 +46,12 @@
 
 bool is_read_due(const roster_leader& leader, const roster_view& view, time_point now)
 {
-    const bool is_behind = leader.newest_heard > view.current.version;
+    const auto is_newer = [&](const roster_sighting& each)
+    {
+        return each.version > view.current.version;
+    };
+    const bool is_behind = leader.newest_heard > view.current.version ||
+                           std::ranges::any_of(view.sightings, is_newer);
     const duration since = leader.options.refresh - leader.options.read_interval;
     const bool has_cause = !leader.revision || is_behind;
     return now >= (has_cause ? leader.next_read : leader.next_read + since);
--- a/test/decision/roster_test.cpp
+++ b/test/decision/roster_test.cpp
@@ -56,6 +56,29 @@
     LONGS_EQUAL(3, sets.previous.size());
 }
 
+TEST(roster, holders_are_probed_before_too_few_are_heard)
+{
+    LONGS_EQUAL(0, holders_to_probe(it.view, it.now + 999ms).size());
+    // Two are missing from a majority of five, and one more is asked in case of a loss.
+    LONGS_EQUAL(3, holders_to_probe(it.view, it.now + 1s).size());
+}
+
+TEST(roster, a_settled_version_of_a_peer_is_taken_as_settled)
+{
+    learn_roster_from_store(it.view, second, it.now, it.now);
+    second.previous.clear();
+    learn_roster_from_peer(it.view, {.value = second}, it.now);
+    CHECK_FALSE(is_joint(it.view, it.now));
+}
+
+TEST(roster, an_instance_without_the_stores_word_does_not_decide_for_ever)
+{
+    it.view.options.view_lease = 3h;
+    it.view.options.longest_gap = 3h;
+    CHECK_TRUE(may_decide(it.view, it.now + 2h - 1ns));
+    CHECK_FALSE(may_decide(it.view, it.now + 2h));
+}
+
 TEST(roster, the_version_in_force_never_goes_back)
 {
     learn_roster_from_store(it.view, second, it.now, it.now);
