Take the probes of holders out again

Change: the probes and the versions in replies are no longer taken as sightings; the store lease check, the treatment of suspected holders and the second storm stay.

Conclusion: less code for the same guarantee.

--- a/include/kumquatpath/decision/claim.hpp
+++ b/include/kumquatpath/decision/claim.hpp
@@ -8,9 +8,6 @@
 /// a full table evicts nothing. Failure: a full table, an instance that has lost what it
 /// held, or a coordinator whose roster is too old, gets no record.
 ///
-/// Every reply tells the version of the roster that the holder announces. A claim for
-/// every_key() with no time to keep asks for nothing else.
-///
 /// Advance votes: a claim for every_key() asks a holder for its votes on all keys of
 /// which the coordinator is the first holder, for the time of claim::keep. A holder that
 /// grants it gives no record of such a key to anybody else until every submission that
--- a/include/kumquatpath/decision/roster.hpp
+++ b/include/kumquatpath/decision/roster.hpp
@@ -145,10 +145,6 @@
 /// Notes the passing of time; a long gap since the last call shows a pause.
 void tick_roster(roster_view& view, time_point now);
 
-/// Returns the holders to ask for their versions, so that a majority of each set stays
-/// heard: none while enough were heard within a third of the view lease.
-std::vector<instance_id> holders_to_probe(const roster_view& view, time_point now);
-
 /// Returns the version to announce in heartbeats; 0 until the version is confirmed, so
 /// that a restarted instance never stands for a version that it had already left.
 roster_version announced_version(const roster_view& view);
--- a/include/kumquatpath/decision/submission.hpp
+++ b/include/kumquatpath/decision/submission.hpp
@@ -60,11 +60,8 @@
     /// often.
     duration advance_period = std::chrono::seconds{10};
     duration advance_interval = std::chrono::milliseconds{1500};
-    /// How often holders are asked for their version of the roster when too few were
-    /// heard.
-    duration probe_interval = std::chrono::seconds{1};
-    /// In a larger roster no votes are asked for in advance, and no holder for its
-    /// version: that would take too much traffic.
+    /// In a larger roster no votes are asked for in advance: that would take too much
+    /// traffic.
     std::size_t most_asked_holders = 16;
 };
 
@@ -141,7 +138,6 @@
     std::size_t waiting_bytes = 0;
     std::size_t answer_bytes = 0;
     advance_votes advance;
-    time_point next_probe{};
     /// Claims that may be made now, refilled as time passes.
     double claims_allowed = 0;
     time_point refilled_at{};
@@ -150,8 +146,7 @@
 /// What an instance knows when it decides.
 struct submission_context
 {
-    /// Replies of holders also tell their version of the roster.
-    roster_view& roster;
+    const roster_view& roster;
     const member_view& members;
     time_point now;
 };
--- a/src/decision/claim.cpp
+++ b/src/decision/claim.cpp
@@ -85,8 +85,7 @@
 {
     claim_reply reply{
         .key = wanted.key, .coordinator = from, .roster = announced_version(view)};
-    reply.valid =
-        wanted.keep.count() > 0 && may_vote_in_advance(records, view, from, wanted, now);
+    reply.valid = may_vote_in_advance(records, view, from, wanted, now);
     if (reply.valid)
     {
         granted_votes& votes = records.granted[view.current.version];
--- a/src/decision/roster.cpp
+++ b/src/decision/roster.cpp
@@ -67,40 +67,6 @@
     }
 }
 
-/// Adds to \p probed the holders that were heard longest ago, as many as are missing from
-/// a majority that was heard just now, and one more in case a reply is lost.
-void add_probes(const roster_view& view, const std::vector<instance_id>& holders,
-                time_point now, std::vector<instance_id>& probed)
-{
-    std::vector<std::pair<time_point, instance_id>> stale;
-    std::size_t heard = own_vote(view, holders);
-    for (const instance_id each : holders)
-    {
-        const auto found =
-            std::ranges::find(view.sightings, each, &roster_sighting::instance);
-        const time_point last =
-            found == view.sightings.end() ? time_point::min() : found->heard;
-        const bool is_recent =
-            last != time_point::min() && now - last < view.options.view_lease / 3;
-        heard += is_recent ? 1 : 0;
-        if (!is_recent && each != view.self)
-        {
-            stale.emplace_back(last, each);
-        }
-    }
-    const std::size_t needed = majority_of(holders.size());
-    const std::size_t missing = heard >= needed ? 0 : needed - heard + 1;
-    std::ranges::sort(stale);
-    stale.resize(std::min(missing, stale.size()));
-    for (const auto& [last, instance] : stale)
-    {
-        if (!contains(probed, instance))
-        {
-            probed.push_back(instance);
-        }
-    }
-}
-
 /// Forgets how fresh the sightings are when the time since the last tick shows a pause.
 void note_pause(roster_view& view, time_point now)
 {
@@ -250,17 +216,6 @@
     settle(view, now);
 }
 
-std::vector<instance_id> holders_to_probe(const roster_view& view, time_point now)
-{
-    std::vector<instance_id> probed;
-    add_probes(view, view.current.holders, now, probed);
-    if (is_joint(view, now))
-    {
-        add_probes(view, view.current.previous, now, probed);
-    }
-    return probed;
-}
-
 roster_version announced_version(const roster_view& view)
 {
     return view.is_confirmed ? view.current.version : roster_version{};
--- a/src/decision/submission.cpp
+++ b/src/decision/submission.cpp
@@ -236,7 +236,6 @@
 void receive_claim_reply(submission_state& state, const submission_context& context,
                          instance_id from, const claim_reply& reply, action_list& actions)
 {
-    hear_roster_version(context.roster, from, reply.roster, context.now);
     if (is_every_key(reply.key))
     {
         receive_advance_vote(state, context, from, reply);
@@ -257,7 +256,6 @@
 {
     expire_records(state.records, context.now);
     ask_in_advance(state, context, actions);
-    probe_holders(state, context, actions);
     while (!state.agenda.empty() && state.agenda.begin()->first <= context.now)
     {
         const submission_key key = state.agenda.begin()->second;
--- a/src/decision/submission_advance.cpp
+++ b/src/decision/submission_advance.cpp
@@ -111,24 +111,6 @@
     }
 }
 
-void probe_holders(submission_state& state, const submission_context& context,
-                   action_list& actions)
-{
-    if (context.now < state.next_probe ||
-        context.roster.current.holders.size() > state.options.most_asked_holders)
-    {
-        return;
-    }
-    state.next_probe = context.now + state.options.probe_interval;
-    const claim probe{.key = every_key({}),
-                      .coordinator = context.roster.self,
-                      .roster = announced_version(context.roster)};
-    for (const instance_id each : holders_to_probe(context.roster, context.now))
-    {
-        actions.push_back(send_to_peer{.peer = each, .message = probe});
-    }
-}
-
 void receive_advance_vote(submission_state& state, const submission_context& context,
                           instance_id from, const claim_reply& reply)
 {
--- a/src/decision/submission_table.hpp
+++ b/src/decision/submission_table.hpp
@@ -63,10 +63,6 @@
 void ask_in_advance(submission_state& state, const submission_context& context,
                     action_list& actions);
 
-/// Asks holders for their version of the roster when too few were heard.
-void probe_holders(submission_state& state, const submission_context& context,
-                   action_list& actions);
-
 /// Takes a holder's reply to ask_in_advance().
 void receive_advance_vote(submission_state& state, const submission_context& context,
                           instance_id from, const claim_reply& reply);
