Keep a newcomer from taking a flood for the usual load

Cause: an instance that joins during a flood took the latencies of its first moments for the unpressed ones.

Ruled out: a small first limit for newcomers (it grows all the same); taking over a peer's limit (one more field in each heartbeat).

The change: the base of a lane younger than 3 s is not learned; peers that tell they refuse a part of a lane press its pool, and under pressure the base is the seen latency over the inflation that the peers hold. The inflation is now averaged over answers, each alike.

--- a/bench/flood_site.hpp
+++ b/bench/flood_site.hpp
@@ -36,6 +36,8 @@
 {
     std::string name;
     std::size_t targets = 0;
+    /// Over the whole fleet; 0 means no limit.
+    std::uint32_t requests_per_second = 0;
 };
 
 /// The work and the targets of one customer.
@@ -86,9 +88,11 @@
             whole.pools.back().targets.push_back(
                 {.id = {next_target++}, .data_centre = {1}});
         }
-        whole.services.push_back({.id = {static_cast<std::uint32_t>(pool + 1)},
-                                  .name = shape.pools[pool].name,
-                                  .pool = static_cast<std::uint32_t>(pool)});
+        whole.services.push_back(
+            {.id = {static_cast<std::uint32_t>(pool + 1)},
+             .name = shape.pools[pool].name,
+             .pool = static_cast<std::uint32_t>(pool),
+             .requests_per_second = shape.pools[pool].requests_per_second});
     }
     for (std::uint16_t i = 0; i < tenant_count; ++i)
     {
--- a/include/kumquatpath/decision/admission_lane.hpp
+++ b/include/kumquatpath/decision/admission_lane.hpp
@@ -79,8 +79,10 @@
 /// Notes the decision on one request of a lane that was brought up to \p now.
 void note_decision(admission_lane& lane, bool is_admitted, time_point now) noexcept;
 
-/// Learns from the latency of one answer.
-void note_latency(admission_lane& lane, duration latency, bool pressed) noexcept;
+/// Learns from the latency of one answer. \p pressed tells whether the lane's pool
+/// refuses work; a young lane cannot know that yet, so its latencies count as pressed.
+void note_latency(admission_lane& lane, duration latency, bool pressed,
+                  time_point now) noexcept;
 
 /// Returns the latency that the lane's work has without pressure; zero when it isn't
 /// known yet.
--- a/include/kumquatpath/decision/concurrency_limit.hpp
+++ b/include/kumquatpath/decision/concurrency_limit.hpp
@@ -49,11 +49,11 @@
     duration back_off{0};
 };
 
-/// The latencies of some answers, summed, in seconds.
-struct latency_sum
+/// The inflation of the latencies of some answers, summed. Each answer counts alike, so
+/// that short work is not drowned by long work.
+struct inflation_sum
 {
-    double observed = 0;
-    double expected = 0;
+    double inflation = 0;
     double answers = 0;
 };
 
@@ -62,8 +62,8 @@
 {
     time_point opened{};
     /// The answers to lanes that are flooded, and to the others.
-    latency_sum flooded;
-    latency_sum others;
+    inflation_sum flooded;
+    inflation_sum others;
     /// Requests that timed out.
     std::uint32_t silences = 0;
     std::uint32_t started = 0;
@@ -134,6 +134,9 @@
 /// Returns whether the pool has been refusing a part of its work lately.
 bool is_pressed(const concurrency_limit& pool, time_point now) noexcept;
 
+/// Notes that peers tell that they refuse a part of the pool's work.
+void note_pressed_peers(concurrency_limit& pool, time_point now) noexcept;
+
 /// Notes that a request was refused because there was no room.
 void note_no_room(concurrency_limit& pool) noexcept;
 
--- a/src/decision/admission.cpp
+++ b/src/decision/admission.cpp
@@ -19,6 +19,10 @@
 /// The part of the learned limit that each step of priority leaves to more urgent work.
 constexpr double priority_step = 0.1;
 constexpr int most_priority_steps = 3;
+/// A peer that is offered more than this, in requests a second, and admits less than this
+/// part of it, is refusing work.
+constexpr double least_told = 5;
+constexpr double told_admitted = 0.8;
 /// A lane with a guarantee below this, in requests a second, may use the floor.
 constexpr double least_guarantee = 10;
 /// The part of the learned limit that is the floor of all busy lanes together.
@@ -173,6 +177,17 @@
                      .kind = *kind}};
 }
 
+/// Returns whether a peer tells that it refuses much of a lane.
+bool is_refused_much(const usage& told) noexcept
+{
+    return told.offered > least_told && told.admitted < told.offered * told_admitted;
+}
+
+admission_pool& pool_of(admission& state, service_id service) noexcept
+{
+    return *find_entry(state.pools, find_entry(state.services, service)->pool);
+}
+
 double own_rate(const admission& state, const lane_key& key, time_point now) noexcept
 {
     const admission_lane* lane = find_sorted(state.lanes, key, &admission_lane::key);
@@ -224,7 +239,7 @@
         sample.is_flooded = is_flooded(*lane, now);
         if (end == request_end::answered)
         {
-            note_latency(*lane, latency, is_pressed(pool->capacity, now));
+            note_latency(*lane, latency, is_pressed(pool->capacity, now), now);
         }
         const bool was_busy = lane->in_flight > 0;
         lane->in_flight -= was_busy ? 1U : 0U;
@@ -255,6 +270,10 @@
         peer_rate += each.offered;
         own += own_rate(state, key, now);
         note_peer_usage(lane_of(state, key, now), each, now);
+        if (is_refused_much(each))
+        {
+            note_pressed_peers(pool_of(state, key.service).capacity, now);
+        }
     }
     note_peer_rate(state.fleet, peer_rate, own, now);
 }
--- a/src/decision/admission_lane.cpp
+++ b/src/decision/admission_lane.cpp
@@ -30,6 +30,8 @@
 constexpr double peer_weight = 0.3;
 /// A peer that admits this part of what it is offered is taken to admit all.
 constexpr double nearly_all = 0.95;
+/// The time in which an instance hears from its peers whether they refuse work.
+constexpr duration base_waits = std::chrono::seconds(3);
 /// Answers after which a base is trusted, and over which it is averaged.
 constexpr std::uint32_t least_samples = 32;
 constexpr std::uint32_t base_memory_samples = 2000;
@@ -100,10 +102,12 @@
     }
 }
 
-void note_latency(admission_lane& lane, duration latency, bool pressed) noexcept
+void note_latency(admission_lane& lane, duration latency, bool pressed,
+                  time_point now) noexcept
 {
     base_latency& base = lane.base;
-    if (pressed)
+    const bool is_young = now - lane.first_seen < base_waits;
+    if (pressed || is_young)
     {
         average(base.pressed_mean, base.pressed_samples, in_seconds(latency));
         return;
--- a/src/decision/concurrency_limit.cpp
+++ b/src/decision/concurrency_limit.cpp
@@ -71,10 +71,9 @@
 }
 
 /// Returns the part of \p sum that still counts in the next window.
-latency_sum carried(const latency_sum& sum) noexcept
+inflation_sum carried(const inflation_sum& sum) noexcept
 {
-    return {.observed = sum.observed * carried_part,
-            .expected = sum.expected * carried_part,
+    return {.inflation = sum.inflation * carried_part,
             .answers = sum.answers * carried_part};
 }
 
@@ -89,15 +88,15 @@
     return window.others.answers >= answers_in(window) * least_others;
 }
 
-/// Returns the seen latency over the expected one; 1 when nothing is known.
+/// Returns the mean of the seen latency over the expected one; 1 when nothing is known.
 double inflation_of(const latency_window& window) noexcept
 {
     const bool without_flooded = others_decide(window);
-    const double observed =
-        window.others.observed + (without_flooded ? 0 : window.flooded.observed);
-    const double expected =
-        window.others.expected + (without_flooded ? 0 : window.flooded.expected);
-    return expected > 0 ? observed / expected : 1;
+    const double sum =
+        window.others.inflation + (without_flooded ? 0 : window.flooded.inflation);
+    const double answers =
+        window.others.answers + (without_flooded ? 0 : window.flooded.answers);
+    return answers > 0 ? sum / answers : 1;
 }
 
 /// Returns the part of its error that the limit corrects at once.
@@ -186,10 +185,9 @@
     {
         return;
     }
-    latency_sum& sum = sample.is_flooded ? window.flooded : window.others;
+    inflation_sum& sum = sample.is_flooded ? window.flooded : window.others;
     sum.answers += 1;
-    sum.observed += in_seconds(sample.latency);
-    sum.expected += in_seconds(sample.expected);
+    sum.inflation += in_seconds(sample.latency) / in_seconds(sample.expected);
 }
 
 } // namespace
@@ -242,6 +240,11 @@
     return now < pool.pressed_until;
 }
 
+void note_pressed_peers(concurrency_limit& pool, time_point now) noexcept
+{
+    pool.pressed_until = now + pressure_lasts;
+}
+
 void note_no_room(concurrency_limit& pool) noexcept
 {
     ++pool.window.without_room;
--- a/test/decision/admission_test.cpp
+++ b/test/decision/admission_test.cpp
@@ -268,6 +268,37 @@
     CHECK_COMPARE(rate.per_second, >=, 40);
 }
 
+TEST(admission, a_newcomer_learns_from_its_peers_that_a_flood_is_on)
+{
+    admission state = small_admission();
+    const usage told{.service = catalogue,
+                     .tenant = rangers,
+                     .traffic_class = look_ups,
+                     .offered = 400,
+                     .admitted = 40};
+    CHECK_FALSE(is_pressed(state.pools[0].capacity, time_point(1s)));
+    note_peer_usages(state, std::span(&told, 1), time_point(1s));
+
+    CHECK_TRUE(is_pressed(state.pools[0].capacity, time_point(1s)));
+}
+
+TEST(admission, a_newcomer_does_not_take_flooded_latencies_for_the_usual_ones)
+{
+    admission_lane lane{.first_seen = time_point(1s)};
+    for (int i = 0; i < 100; ++i)
+    {
+        note_latency(lane, 27ms, false, time_point(2s));
+    }
+    LONGS_EQUAL(0, lane.base.samples);
+    DOUBLES_EQUAL(0.020, in_seconds(expected_latency(lane)), 1e-6);
+    for (int i = 0; i < 100; ++i)
+    {
+        note_latency(lane, 10ms, false, time_point(5s));
+    }
+
+    DOUBLES_EQUAL(0.010, in_seconds(expected_latency(lane)), 1e-6);
+}
+
 TEST(admission, a_heartbeat_tells_every_lane_in_turn)
 {
     configuration whole = small_configuration();
