Hold a newcomer's base where it was first learned under pressure

The change: a base under pressure is learned from 64 answers and then stands; the limit stands still while more answers of other work have no base than have one; an instance that first hears of the flood from its peers begins with the resting limit.

--- a/include/kumquatpath/decision/concurrency_limit.hpp
+++ b/include/kumquatpath/decision/concurrency_limit.hpp
@@ -64,6 +64,9 @@
     /// The answers to lanes that are flooded, and to the others.
     inflation_sum flooded;
     inflation_sum others;
+    /// Answers to lanes that aren't flooded and whose usual latency isn't known yet.
+    /// While they are more than the others the limit stands still.
+    double unmeasured = 0;
     /// Requests that timed out.
     std::uint32_t silences = 0;
     std::uint32_t started = 0;
@@ -134,7 +137,8 @@
 /// Returns whether the pool has been refusing a part of its work lately.
 bool is_pressed(const concurrency_limit& pool, time_point now) noexcept;
 
-/// Notes that peers tell that they refuse a part of the pool's work.
+/// Notes that peers tell that they refuse a part of the pool's work. An instance that
+/// didn't know begins with a low limit.
 void note_pressed_peers(concurrency_limit& pool, time_point now) noexcept;
 
 /// Notes that a request was refused because there was no room.
--- a/src/decision/admission_lane.cpp
+++ b/src/decision/admission_lane.cpp
@@ -35,6 +35,7 @@
 /// Answers after which a base is trusted, and over which it is averaged.
 constexpr std::uint32_t least_samples = 32;
 constexpr std::uint32_t base_memory_samples = 2000;
+constexpr std::uint32_t most_pressed_samples = 64;
 
 /// Returns the time over which the lane learns what is usual.
 duration memory_of(const admission_lane& lane, time_point now) noexcept
@@ -107,12 +108,16 @@
 {
     base_latency& base = lane.base;
     const bool is_young = now - lane.first_seen < base_waits;
-    if (pressed || is_young)
+    if (!pressed && !is_young)
     {
-        average(base.pressed_mean, base.pressed_samples, in_seconds(latency));
+        average(base.mean, base.samples, in_seconds(latency));
         return;
     }
-    average(base.mean, base.samples, in_seconds(latency));
+    // A mean that went on would follow the latency that it is meant to limit.
+    if (base.pressed_samples < most_pressed_samples)
+    {
+        average(base.pressed_mean, base.pressed_samples, in_seconds(latency));
+    }
 }
 
 duration expected_latency(const admission_lane& lane) noexcept
--- a/src/decision/concurrency_limit.cpp
+++ b/src/decision/concurrency_limit.cpp
@@ -114,6 +114,10 @@
     {
         return pool.limit * fastest_decrease;
     }
+    if (window.unmeasured > window.others.answers)
+    {
+        return pool.limit;
+    }
     const double inflation = inflation_of(window);
     const double part = gain_at(inflation);
     const double tolerated =
@@ -172,6 +176,7 @@
     pool.window = {.opened = now,
                    .flooded = carried(window.flooded),
                    .others = carried(window.others),
+                   .unmeasured = window.unmeasured * carried_part,
                    .most_in_flight = pool.in_flight};
 }
 
@@ -181,8 +186,13 @@
     {
         ++window.silences;
     }
-    if (sample.end != request_end::answered || sample.expected <= duration::zero())
+    if (sample.end != request_end::answered)
+    {
+        return;
+    }
+    if (sample.expected <= duration::zero())
     {
+        window.unmeasured += sample.is_flooded ? 0 : 1;
         return;
     }
     inflation_sum& sum = sample.is_flooded ? window.flooded : window.others;
@@ -242,6 +252,11 @@
 
 void note_pressed_peers(concurrency_limit& pool, time_point now) noexcept
 {
+    if (!is_pressed(pool, now))
+    {
+        const double small = resting_per_target * static_cast<double>(pool.active);
+        pool.limit = std::min(pool.limit, small);
+    }
     pool.pressed_until = now + pressure_lasts;
 }
 
--- a/test/decision/admission_test.cpp
+++ b/test/decision/admission_test.cpp
@@ -299,6 +299,17 @@
     DOUBLES_EQUAL(0.010, in_seconds(expected_latency(lane)), 1e-6);
 }
 
+TEST(admission, a_base_learned_under_pressure_does_not_follow_the_latency)
+{
+    admission_lane lane{.first_seen = time_point(1s)};
+    for (int i = 0; i < 1000; ++i)
+    {
+        note_latency(lane, i < 100 ? 27ms : 60ms, true, time_point(5s));
+    }
+
+    DOUBLES_EQUAL(0.020, in_seconds(expected_latency(lane)), 1e-6);
+}
+
 TEST(admission, a_heartbeat_tells_every_lane_in_turn)
 {
     configuration whole = small_configuration();
--- a/test/decision/concurrency_limit_test.cpp
+++ b/test/decision/concurrency_limit_test.cpp
@@ -94,6 +94,26 @@
     CHECK_COMPARE(pool.limit, <, 8);
 }
 
+TEST(concurrency_limit, stands_still_while_the_usual_latency_of_others_is_unknown)
+{
+    concurrency_limit pool = limit_of_four_targets();
+    time_point now(1s);
+    for (int i = 0; i < 500; ++i)
+    {
+        now += 10ms;
+        note_started(pool, first_target, room_kind::guaranteed);
+        note_no_room(pool);
+        const bool is_flooded = i % 2 != 0;
+        note_ended(pool, {}, first_target,
+                   {.latency = 10ms,
+                    .expected = is_flooded ? 10ms : 0ms,
+                    .is_flooded = is_flooded},
+                   now);
+    }
+
+    DOUBLES_EQUAL(16, pool.limit, 1e-9);
+}
+
 TEST(concurrency_limit, cuts_guaranteed_work_when_answers_stay_late_without_surplus)
 {
     concurrency_limit pool = limit_of_four_targets();
