Refuse to take targets from under open flows; store past placements as differences

Cause: (1) an edit could remove or move a target that open flows rest on, and every such flow would break.

Ruled out: dropping targets' names for ids (as long in JSON), fewer past placements (the bound of 8 is what operators need), and leaving the guard to a warning (a newcomer's edit is accepted everywhere or refused with a reason).

A past placement is stored as its difference from the one after it.

--- a/fuzz/configuration_fuzz.cpp
+++ b/fuzz/configuration_fuzz.cpp
@@ -126,7 +126,7 @@
         R"("draining"}}})";
     const std::string envelope =
         R"({"generation":7,"submission":"x","author":"y","submitted_at_ms":1000,)"
-        R"("epochs":{"s":[{"retired_in":6,"retired_at_ms":900,"targets":["t1","t2"]}]},)"
+        R"("epochs":{"s":[{"retired_in":6,"retired_at_ms":900,"also":["t2"],"without":["t1"]}]},)"
         R"("document":)" +
         document + '}';
     const kumquatpath::fuzz::corpus from = {.inputs = {document, envelope},
@@ -170,6 +170,8 @@
                                                            "\"epochs\"",
                                                            "\"document\"",
                                                            "\"generation\"",
+                                                           "\"also\"",
+                                                           "\"without\"",
                                                            "\"services\"",
                                                            "\"format\"",
                                                            "{}",
--- a/include/kumquatpath/model/configuration_envelope.hpp
+++ b/include/kumquatpath/model/configuration_envelope.hpp
@@ -57,6 +57,16 @@
     boost::json::value document;
     std::string submission;
     std::string author;
+    /// Whether the change may take a target away that open flows may rest on.
+    bool may_cut_flows = false;
+};
+
+/// A failure of next_envelope(): the change removes or moves targets that open flows may
+/// rest on.
+struct flows_at_risk
+{
+    /// The targets' names, in ascending order.
+    std::vector<std::string> targets;
 };
 
 /// A failure of next_envelope(): the change would need one more past placement of a
@@ -71,7 +81,8 @@
 /// Returns the envelope that follows \p previous (null: there is none) when \p options is
 /// submitted at \p now.
 ///
-/// Fails with configuration_faults or too_many_epochs. The generation is one more than
+/// Fails with configuration_faults, too_many_epochs, or flows_at_risk unless the options
+/// allow that. The generation is one more than
 /// the previous one. A service whose set of active targets changes gets its former set as
 /// a past placement. Past placements lapse after the flow lifetime and epoch_slack; time
 /// never runs backwards from one envelope to the next, whatever the clients' clocks say.
--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -113,8 +113,10 @@
 leaf::result<publication> run_edit(const client_context& context, key_value_store& store)
 {
     const command_options& options = context.options;
-    const submitter by{
-        .author = options.author, .submission = new_submission(), .now = wall_now()};
+    const submitter by{.author = options.author,
+                       .submission = new_submission(),
+                       .now = wall_now(),
+                       .may_cut_flows = options.may_cut_flows};
     switch (options.verb)
     {
     case verb::drain:
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -56,6 +56,7 @@
         add_if(entry, argument::past_generation, generation_);
         add_if(entry, argument::optional_generation, chosen_generation_);
         add_if(entry, argument::base, base_);
+        add_if(entry, argument::cut_flows, cut_flows_);
         add_if(entry, argument::wait, wait_);
         add_if(entry, argument::wait, timeout_);
         add_if(entry, argument::author, author_);
@@ -81,6 +82,7 @@
         options.json = json_.getValue();
         options.file = file_.getValue();
         options.name = name_.getValue();
+        options.may_cut_flows = cut_flows_.getValue();
         options.wait = wait_.getValue();
         options.timeout = std::chrono::seconds(timeout_.getValue());
         options.last = last_.getValue();
@@ -143,6 +145,7 @@
     number chosen_generation_{"", "generation", "a generation", false, 0, "GENERATION"};
     number base_{"",    "base", "the generation the file was edited from",
                  false, 0,      "GENERATION"};
+    TCLAP::SwitchArg cut_flows_{"", "cut-flows", "remove targets that flows may rest on"};
     TCLAP::SwitchArg wait_{"", "wait", "wait until it is in force"};
     TCLAP::ValueArg<std::uint32_t> timeout_{"",    "timeout", "how long to wait",
                                             false, 60,        "SECONDS"};
--- a/src/client/command_line.hpp
+++ b/src/client/command_line.hpp
@@ -60,6 +60,8 @@
     std::optional<kumquatpath::generation> generation;
     /// The generation that a file was edited from.
     std::optional<kumquatpath::generation> base;
+    /// Whether the change may take a target away that open flows may rest on.
+    bool may_cut_flows = false;
     bool wait = false;
     /// How long --wait lasts.
     std::chrono::seconds timeout{60};
--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -126,7 +126,8 @@
                    {.base = std::move(started_from),
                     .edited = std::move(read.document),
                     .submission = by.submission,
-                    .author = by.author},
+                    .author = by.author,
+                    .may_cut_flows = by.may_cut_flows},
                    by.now);
 }
 
@@ -159,7 +160,8 @@
                    {.base = std::move(current.envelope.document),
                     .edited = std::move(edited),
                     .submission = by.submission,
-                    .author = by.author},
+                    .author = by.author,
+                    .may_cut_flows = by.may_cut_flows},
                    by.now);
 }
 
@@ -172,7 +174,8 @@
                    {.base = std::move(current.envelope.document),
                     .edited = std::move(earlier.document),
                     .submission = by.submission,
-                    .author = by.author},
+                    .author = by.author,
+                    .may_cut_flows = by.may_cut_flows},
                    by.now);
 }
 
--- a/src/client/commands.hpp
+++ b/src/client/commands.hpp
@@ -17,12 +17,14 @@
 namespace kumquatpath
 {
 
-/// Who submits a change, when, and under which random text.
+/// Who submits a change, when, under which random text, and at whose risk.
 struct submitter
 {
     std::string author;
     std::string submission;
     wall_time now;
+    /// Whether the change may take a target away that open flows may rest on.
+    bool may_cut_flows = false;
 };
 
 /// Publishes the document in \p text, which was edited from \p base or, if that is empty,
--- a/src/client/failure.cpp
+++ b/src/client/failure.cpp
@@ -100,6 +100,24 @@
                         {"free_at_ms", failure.free_at.time_since_epoch().count()}}};
 }
 
+failure_report report_of(const flows_at_risk& failure)
+{
+    failure_report report{.kind = "flows_at_risk"};
+    report.message =
+        "Open flows may rest on targets that this change removes or moves:\n";
+    json::array targets;
+    for (const std::string& each : failure.targets)
+    {
+        report.message += "  " + each + '\n';
+        targets.emplace_back(each);
+    }
+    report.message += "Nothing was published. Drain them first, and remove them when the "
+                      "flow lifetime is over;\nor add --cut-flows when `kumquatpath "
+                      "status` shows that their drain waits for nothing.";
+    report.details["targets"] = std::move(targets);
+    return report;
+}
+
 failure_report report_of(const base_required& failure)
 {
     const std::string generation = std::to_string(failure.in_force.value);
@@ -222,6 +240,7 @@
         [&](const configuration_faults& failure) { return told(failure); },
         [&](const edit_conflict& failure) { return told(failure); },
         [&](const too_many_epochs& failure) { return told(failure); },
+        [&](const flows_at_risk& failure) { return told(failure); },
         [&](const base_required& failure) { return told(failure); },
         [&](const unknown_object& failure) { return told(failure); },
         [&](const unknown_generation& failure) { return told(failure); },
--- a/src/client/publication.cpp
+++ b/src/client/publication.cpp
@@ -143,7 +143,8 @@
         BOOST_LEAF_AUTO(next, next_envelope(previous,
                                             {.document = std::move(document),
                                              .submission = edit_.submission,
-                                             .author = edit_.author},
+                                             .author = edit_.author,
+                                             .may_cut_flows = edit_.may_cut_flows},
                                             now_));
         return write(current, next);
     }
--- a/src/client/publication.hpp
+++ b/src/client/publication.hpp
@@ -80,6 +80,8 @@
     /// A random text that no other submission has.
     std::string submission;
     std::string author;
+    /// Whether the edit may take a target away that open flows may rest on.
+    bool may_cut_flows = false;
 };
 
 /// What became of a published edit.
@@ -99,8 +101,8 @@
 ///
 /// Changes of others since the edit's base stay if they are to other objects; otherwise
 /// it fails with edit_conflict. Fails also with configuration_faults, too_many_epochs,
-/// too_many_attempts and outcome_unknown, and with store_unreachable, store_timeout or
-/// store_malformed_answer when the edit was certainly not published.
+/// flows_at_risk, too_many_attempts and outcome_unknown, and with store_unreachable,
+/// store_timeout or store_malformed_answer when the edit was certainly not published.
 boost::leaf::result<publication> publish(key_value_store& store, const edit_options& edit,
                                          wall_time now);
 
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -21,8 +21,8 @@
         .verb = verb::apply,
         .word = "apply",
         .is_command = true,
-        .arguments =
-            takes(argument::file, argument::base, argument::wait, argument::author),
+        .arguments = takes(argument::file, argument::base, argument::wait,
+                           argument::author, argument::cut_flows),
         .synopsis = "apply FILE [--base GENERATION] [--wait] [--timeout SECONDS]",
         .summary = "submit a whole configuration",
         .help =
@@ -35,10 +35,15 @@
 they are to other objects; otherwise the command ends with 4 and names the objects.
 The first configuration of all needs no base.
 
+A target that open flows may rest on can't be removed or moved: drain it first, and remove
+it when the longest flow lifetime is over, or with --cut-flows as soon as
+`kumquatpath status` shows that its drain waits for nothing.
+
 If the platform's answer is lost, the client reads back whether its submission took
 effect, and says so.
 
   --base GENERATION  the generation that FILE was edited from
+  --cut-flows        allow it to remove or move targets that open flows may rest on
   --wait             wait until every instance that can be reached has it in force
   --timeout SECONDS  how long --wait lasts (60)
   --author NAME      who submits it ($USER)
@@ -91,13 +96,15 @@
         .verb = verb::rollback,
         .word = "rollback",
         .is_command = true,
-        .arguments = takes(argument::past_generation, argument::wait, argument::author),
+        .arguments = takes(argument::past_generation, argument::wait, argument::author,
+                           argument::cut_flows),
         .synopsis = "rollback GENERATION [--wait] [--timeout SECONDS]",
         .summary = "submit an earlier configuration again",
         .help =
             R"(Publishes the content of an earlier generation as a new one; the generation never goes
 back. `kumquatpath history` lists the generations that can be had.
 
+  --cut-flows        allow it to remove or move targets that open flows may rest on
   --wait             wait until every instance that can be reached has it in force
   --timeout SECONDS  how long --wait lasts (60)
   --author NAME      who submits it ($USER)
--- a/src/client/verb_table.hpp
+++ b/src/client/verb_table.hpp
@@ -24,6 +24,7 @@
     wait = 1U << 5U,
     author = 1U << 6U,
     last = 1U << 7U,
+    cut_flows = 1U << 8U,
 };
 
 /// One line of the table.
--- a/src/model/configuration_envelope.cpp
+++ b/src/model/configuration_envelope.cpp
@@ -1,3 +1,5 @@
+#include "model/cut_targets.hpp"
+#include "model/epoch_codec.hpp"
 #include "model/json_parse.hpp"
 #include "model/object_reader.hpp"
 
@@ -5,7 +7,6 @@
 #include <kumquatpath/model/configuration_envelope.hpp>
 #include <kumquatpath/model/configuration_query.hpp>
 
-#include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 
 #include <algorithm>
@@ -24,119 +25,7 @@
 constexpr std::array envelope_keys = {key("generation"), key("submission"),
                                       key("author"),     key("submitted_at_ms"),
                                       key("epochs"),     key("document")};
-constexpr std::array epoch_keys = {key("retired_in"), key("retired_at_ms"),
-                                   key("targets")};
 constexpr std::uint64_t largest_number = std::numeric_limits<std::int64_t>::max();
-/// The latest wall time that is read, in milliseconds: the year 9999. A later one could
-/// overflow when it is converted to finer units.
-constexpr std::uint64_t latest_wall_time_ms = 253'402'300'799'999;
-
-wall_time wall_time_of(std::uint64_t milliseconds)
-{
-    return wall_time(std::chrono::milliseconds(milliseconds));
-}
-
-json::object write_epoch(const epoch_record& epoch)
-{
-    json::array targets;
-    for (const std::string& each : epoch.targets)
-    {
-        targets.emplace_back(each);
-    }
-    return {{"retired_in", epoch.retired_in.value},
-            {"retired_at_ms", epoch.retired_at.time_since_epoch().count()},
-            {"targets", std::move(targets)}};
-}
-
-json::object write_epochs(const epoch_records& records)
-{
-    json::object written;
-    for (const auto& [service, epochs] : records)
-    {
-        json::array list;
-        for (const epoch_record& each : epochs)
-        {
-            list.emplace_back(write_epoch(each));
-        }
-        written[service] = std::move(list);
-    }
-    return written;
-}
-
-/// Returns the array \p value, or null and a fault.
-const json::array* as_array(const json::value& value, const std::string& pointer,
-                            fault_list& faults)
-{
-    const json::array* const list = value.if_array();
-    if (list == nullptr)
-    {
-        faults.push_back({.kind = fault_kind::wrong_type,
-                          .pointer = pointer,
-                          .name = std::string(type_name(value)),
-                          .expected = "an array"});
-    }
-    return list;
-}
-
-epoch_record read_epoch(const json::value& value, const std::string& pointer,
-                        fault_list& faults)
-{
-    object_reader object(value, pointer, epoch_keys, faults);
-    epoch_record epoch;
-    epoch.retired_in = {object.number("retired_in", {.most = largest_number})};
-    epoch.retired_at =
-        wall_time_of(object.number("retired_at_ms", {.most = latest_wall_time_ms}));
-    const json::value* const targets = object.find("targets");
-    const json::array* const list =
-        targets == nullptr ? nullptr
-                           : as_array(*targets, object.pointer_of("targets"), faults);
-    if (list == nullptr)
-    {
-        return epoch;
-    }
-    for (const json::value& each : *list)
-    {
-        if (const json::string* const name = each.if_string())
-        {
-            epoch.targets.emplace_back(name->data(), name->size());
-        }
-    }
-    std::ranges::sort(epoch.targets);
-    return epoch;
-}
-
-epoch_records read_epochs(object_reader& envelope, fault_list& faults)
-{
-    epoch_records records;
-    const json::object* const section = envelope.object("epochs", true);
-    if (section == nullptr)
-    {
-        return records;
-    }
-    for (const auto& member : *section)
-    {
-        const std::string service(member.key().data(), member.key().size());
-        const std::string pointer = envelope.pointer_of("epochs") + '/' + service;
-        const json::array* const list = as_array(member.value(), pointer, faults);
-        if (list == nullptr)
-        {
-            continue;
-        }
-        if (list->size() > most_placement_epochs)
-        {
-            faults.push_back({.kind = fault_kind::out_of_range,
-                              .pointer = pointer,
-                              .name = std::to_string(list->size()),
-                              .most = most_placement_epochs});
-            continue;
-        }
-        for (const json::value& each : *list)
-        {
-            records[service].push_back(read_epoch(each, pointer, faults));
-        }
-    }
-    return records;
-}
 
 std::vector<target_id> ids_of(const std::vector<std::string>& names)
 {
@@ -171,18 +60,6 @@
     }
 }
 
-using active_sets = std::map<std::string, std::vector<std::string>, std::less<>>;
-
-active_sets active_sets_of(const configuration& whole)
-{
-    active_sets sets;
-    for (const service& each : whole.services)
-    {
-        sets[each.name] = active_target_names(whole, whole.pools[each.pool]);
-    }
-    return sets;
-}
-
 /// Returns how long the past placements of \p service are kept: the longer of what it was
 /// and what it will be, as flows of both times may be open.
 std::chrono::seconds keep_time(const configuration& before, const configuration& after,
@@ -249,6 +126,11 @@
     if (previous != nullptr)
     {
         BOOST_LEAF_ASSIGN(next.epochs, next_epochs(*previous, next));
+        auto cut = cut_targets(*previous, next);
+        if (!cut.empty() && !options.may_cut_flows)
+        {
+            return boost::leaf::new_error(flows_at_risk{std::move(cut)});
+        }
     }
     complete(next);
     return next;
@@ -261,7 +143,7 @@
         {"submission", envelope.submission},
         {"author", envelope.author},
         {"submitted_at_ms", envelope.submitted_at.time_since_epoch().count()},
-        {"epochs", write_epochs(envelope.epochs)},
+        {"epochs", write_epochs(envelope.epochs, active_sets_of(envelope.checked))},
         {"document", envelope.document}};
     std::string text = json::serialize(whole);
     if (text.size() > largest_platform_value)
@@ -290,14 +172,20 @@
     envelope.author = object.required_text("author");
     envelope.submitted_at =
         wall_time_of(object.number("submitted_at_ms", {.most = latest_wall_time_ms}));
-    envelope.epochs = read_epochs(object, faults);
+    const json::object* const epochs = object.object("epochs", true);
     const json::object* const document = object.object("document", true);
-    if (!faults.empty() || document == nullptr)
+    if (!faults.empty() || document == nullptr || epochs == nullptr)
     {
         return boost::leaf::new_error(configuration_faults{std::move(faults)});
     }
     envelope.document = *document;
     BOOST_LEAF_ASSIGN(envelope.checked, check_document(envelope.document, "/document"));
+    envelope.epochs =
+        read_epochs(*epochs, "/epochs", active_sets_of(envelope.checked), faults);
+    if (!faults.empty())
+    {
+        return boost::leaf::new_error(configuration_faults{std::move(faults)});
+    }
     complete(envelope);
     return envelope;
 }
--- a/test/client/publication_test.cpp
+++ b/test/client/publication_test.cpp
@@ -41,6 +41,7 @@
         },
         [](const configuration_faults&) { return text("faults"); },
         [](const too_many_epochs&) { return text("too many epochs"); },
+        [](const flows_at_risk& failure) { return "at risk " + failure.targets.at(0); },
         [](const base_required&) { return text("base required"); },
         [](const unknown_object&) { return text("unknown object"); },
         [](const unknown_generation&) { return text("unknown generation"); },
@@ -271,6 +272,38 @@
     STRCMP_EQUAL("published 10", drain("t1").c_str());
 }
 
+TEST(publication, a_target_that_flows_may_rest_on_is_not_removed_or_moved)
+{
+    auto file = small_document();
+    at(file, "pools", "p", "targets").get_object().erase("t1");
+    STRCMP_EQUAL("at risk t1", apply_document(file, generation{1}).c_str());
+
+    auto moved = small_document();
+    at(moved, "pools", "p", "targets", "t2", "address") = "127.0.0.1:9009";
+    STRCMP_EQUAL("at risk t2", apply_document(moved, generation{1}).c_str());
+    STRCMP_EQUAL("published 2", told(
+                                    [&]
+                                    {
+                                        submitter bold = by("bo");
+                                        bold.may_cut_flows = true;
+                                        return apply(store, boost::json::serialize(moved),
+                                                     generation{1}, bold);
+                                    })
+                                    .c_str());
+}
+
+TEST(publication, a_drained_target_can_go_when_the_flow_lifetime_is_over)
+{
+    STRCMP_EQUAL("published 2", drain("t1").c_str());
+    auto file = small_document();
+    at(file, "pools", "p", "targets").get_object().erase("t1");
+    now += 159s;
+    STRCMP_EQUAL("at risk t1", apply_document(file, generation{2}).c_str());
+
+    now += 1s;
+    STRCMP_EQUAL("published 3", apply_document(file, generation{2}).c_str());
+}
+
 TEST(publication, a_drain_of_nothing_is_refused)
 {
     STRCMP_EQUAL("unknown object", drain("t9").c_str());
--- a/test/model/configuration_envelope_test.cpp
+++ b/test/model/configuration_envelope_test.cpp
@@ -60,6 +60,29 @@
     LONGS_EQUAL(2, whole->services[0].epochs[0].targets.size());
 }
 
+TEST(configuration_envelope, a_chain_of_past_placements_is_read_back_target_by_target)
+{
+    CHECK_TRUE(submit());
+    set_state("t1", "draining");
+    CHECK_TRUE(submit());
+    set_state("t1", "active");
+    set_state("t2", "draining");
+    CHECK_TRUE(submit());
+    at(document, "pools", "p", "targets", "t3") =
+        boost::json::object{{"address", "127.0.0.1:9003"}, {"data_centre", "a"}};
+    CHECK_TRUE(submit());
+    const auto text = write_envelope(*last);
+    CHECK_TRUE(text.has_value());
+    const auto read = parse_envelope(*text);
+
+    CHECK_TRUE(read.has_value());
+    const auto& records = read->epochs.at("s");
+    LONGS_EQUAL(3, records.size());
+    CHECK_TRUE(records[0].targets == std::vector<std::string>({"t1", "t2"}));
+    CHECK_TRUE(records[1].targets == std::vector<std::string>({"t2"}));
+    CHECK_TRUE(records[2].targets == std::vector<std::string>({"t1"}));
+}
+
 TEST(configuration_envelope, only_a_changed_set_of_active_targets_leaves_a_placement)
 {
     CHECK_TRUE(submit());
