Read what the daemon now tells: the generation its packets follow, claims, members' ids

Cause: the daemon tells "switched" as a generation where the client expected yes or no, and names members by id.

Change: a generation is in force where "switched" has reached it; `status` marks an instance that can't claim submissions, and gives members by name where the platform's list knows the id. Counters are printed as whole numbers.

--- a/src/client/fleet.cpp
+++ b/src/client/fleet.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <map>
 #include <thread>
 
 namespace kumquatpath
@@ -62,23 +63,54 @@
     return value != nullptr && value->is_array() ? value->get_array() : json::array();
 }
 
-std::optional<instance_report> read_report(const json::value& body)
+/// The names of instances by the text that stands for an id in their answers.
+using id_names = std::map<std::string, std::string, std::less<>>;
+
+/// An instance knows others by id only; the platform's list knows their names.
+id_names names_of(const std::vector<instance_answer>& answers)
 {
-    const json::object* const object = body.if_object();
-    const json::value* const number =
-        object == nullptr ? nullptr : object->if_contains("generation");
+    id_names names;
+    for (const instance_answer& each : answers)
+    {
+        const std::string& name = each.instance.name;
+        names['#' + std::to_string(id_of<instance_id>(name).value)] = name;
+    }
+    return names;
+}
+
+std::optional<generation> generation_in(const json::object& object, json::string_view key)
+{
+    const json::value* const value = object.if_contains(key);
+    if (value == nullptr)
+    {
+        return std::nullopt;
+    }
     json::error_code error;
-    const auto value = number == nullptr ? 0 : number->to_number<std::uint64_t>(error);
-    if (number == nullptr || error)
+    const auto number = value->to_number<std::uint64_t>(error);
+    return error ? std::nullopt : std::optional(generation{number});
+}
+
+std::optional<instance_report> read_report(const json::value& body, const id_names& names)
+{
+    const json::object* const object = body.if_object();
+    const auto accepted =
+        object == nullptr ? std::nullopt : generation_in(*object, "generation");
+    const auto switched =
+        object == nullptr ? std::nullopt : generation_in(*object, "switched");
+    if (!accepted || !switched)
     {
         return std::nullopt;
     }
-    instance_report report{.generation = {value},
-                           .has_switched = flag_in(*object, "switched", true),
-                           .is_leaving = flag_in(*object, "leaving", false)};
+    instance_report report{.generation = *accepted,
+                           .switched = *switched,
+                           .is_leaving = flag_in(*object, "leaving", false),
+                           .may_claim = flag_in(*object, "claims", true)};
     for (const json::value& each : array_in(*object, "members"))
     {
-        report.members.push_back({text_in(each, "instance"), text_in(each, "state")});
+        const std::string instance = text_in(each, "instance");
+        const auto name = names.find(instance);
+        report.members.push_back(
+            {name == names.end() ? instance : name->second, text_in(each, "state")});
     }
     for (const json::value& each : array_in(*object, "drains"))
     {
@@ -114,12 +146,13 @@
 
 std::vector<instance_status> read_statuses(const std::vector<instance_answer>& answers)
 {
+    const id_names names = names_of(answers);
     std::vector<instance_status> statuses;
     statuses.reserve(answers.size());
     for (const instance_answer& each : answers)
     {
         statuses.push_back(
-            {each.instance, each.body ? read_report(*each.body) : std::nullopt});
+            {each.instance, each.body ? read_report(*each.body, names) : std::nullopt});
     }
     return statuses;
 }
@@ -134,8 +167,7 @@
         {
             progress.unreachable.push_back(each.instance.name);
         }
-        else if (each.report->generation > wanted ||
-                 (each.report->generation == wanted && each.report->has_switched))
+        else if (each.report->switched >= wanted)
         {
             ++progress.in_force;
         }
--- a/src/client/fleet.hpp
+++ b/src/client/fleet.hpp
@@ -53,10 +53,13 @@
 /// What one instance says of itself.
 struct instance_report
 {
+    /// The latest generation that it has accepted.
     kumquatpath::generation generation;
-    /// Whether its packets already follow that generation.
-    bool has_switched = true;
+    /// The generation that its packets follow.
+    kumquatpath::generation switched;
     bool is_leaving = false;
+    /// Whether it may claim submissions that may not be repeated; it refuses them if not.
+    bool may_claim = true;
     std::vector<seen_member> members;
     std::vector<seen_drain> drains;
 };
--- a/src/client/fleet_metrics.cpp
+++ b/src/client/fleet_metrics.cpp
@@ -127,7 +127,7 @@
     for (const auto& member : counters->get_object())
     {
         json::error_code error;
-        const auto number = member.value().to_number<double>(error);
+        const auto number = member.value().to_number<std::uint64_t>(error);
         if (!error)
         {
             metrics.counters[std::string(member.key())] += number;
--- a/src/client/fleet_metrics.hpp
+++ b/src/client/fleet_metrics.hpp
@@ -40,7 +40,7 @@
 struct fleet_metrics
 {
     std::map<histogram_key, fleet_histogram> histograms;
-    std::map<std::string, double> counters;
+    std::map<std::string, std::uint64_t> counters;
     /// Instances that were not reached or not understood, by name.
     std::vector<std::string> missing;
     /// Histograms left out because their bounds differ from those of other instances.
--- a/src/client/fleet_metrics_output.cpp
+++ b/src/client/fleet_metrics_output.cpp
@@ -147,7 +147,7 @@
     out << "\nCounters:\n";
     for (const auto& [name, value] : metrics.counters)
     {
-        out << "  " << name << ' ' << json::serialize(json::value(value)) << '\n';
+        out << "  " << name << ' ' << value << '\n';
     }
     for (const std::string& each : metrics.missing)
     {
--- a/src/client/fleet_output.cpp
+++ b/src/client/fleet_output.cpp
@@ -3,6 +3,7 @@
 
 #include "client/fleet.hpp"
 
+#include <boost/algorithm/string/join.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -33,8 +34,9 @@
         return line;
     }
     line["generation"] = status.report->generation.value;
-    line["switched"] = status.report->has_switched;
+    line["switched"] = status.report->switched.value;
     line["leaving"] = status.report->is_leaving;
+    line["claims"] = status.report->may_claim;
     json::array members;
     for (const seen_member& each : status.report->members)
     {
@@ -66,25 +68,30 @@
     {
         return "BEHIND";
     }
-    return status.report->has_switched ? "ok" : "switching";
+    if (status.report->switched < in_force)
+    {
+        return "switching";
+    }
+    return status.report->may_claim ? "ok" : "no claims";
 }
 
-/// Returns "8 alive, 1 suspect".
+/// Returns "8 alive, 1 suspect (entry-4)"; the names are those of all that are not alive.
 std::string members_of(const instance_status& status)
 {
     if (!status.report)
     {
         return "-";
     }
-    std::map<std::string, std::size_t> counts;
+    std::map<std::string, std::vector<std::string>> by_state;
     for (const seen_member& each : status.report->members)
     {
-        ++counts[each.state];
+        by_state[each.state].push_back(each.instance);
     }
     std::string text;
-    for (const auto& [state, count] : counts)
+    for (const auto& [state, names] : by_state)
     {
-        text += (text.empty() ? "" : ", ") + std::to_string(count) + ' ' + state;
+        text += (text.empty() ? "" : ", ") + std::to_string(names.size()) + ' ' + state;
+        text += state == "alive" ? "" : " (" + boost::algorithm::join(names, " ") + ')';
     }
     return text.empty() ? "none" : text;
 }
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -179,7 +179,13 @@
         .help =
             R"(Asks every instance on the platform's list for the generation that it has in force,
 the members that it sees, and the drains in progress with what each still waits for.
-Ends with 1 if an instance is behind or can't be reached.
+Ends with 1 if an instance is behind or can't be reached. The states are:
+  ok           its packets follow the generation that is on the platform
+  switching    it has that generation, and its packets will follow it in a moment
+  BEHIND       it has an earlier generation
+  no claims    it refuses submissions that may not be repeated, as it holds no claim
+  leaving      it is shutting down and finishes what it has
+  NOT REACHED  it did not answer within a second
 
 Examples:
   kumquatpath status
--- a/test/client/fleet_test.cpp
+++ b/test/client/fleet_test.cpp
@@ -25,19 +25,25 @@
     return answer;
 }
 
+/// Returns what an instance says of itself, in which "two" stands by its id.
+std::string report_of_one()
+{
+    std::string text = R"({"instance":"one","generation":7,"switched":7,"leaving":false,
+        "members":[{"instance":"two","state":"alive"},{"instance":"#TWO","state":"dead"}],
+        "drains":[{"kind":"target","name":"t1","waits_for":"3 open flows"}]})";
+    const std::string id = std::to_string(id_of<instance_id>("two").value);
+    return text.replace(text.find("TWO"), 3, id);
+}
+
 } // namespace
 
 TEST_GROUP(fleet)
 {
-    std::vector<instance_status> statuses = read_statuses(
-        {answer("one",
-                R"({"instance":"one","generation":7,"switched":true,"leaving":false,
-                           "members":[{"instance":"two","state":"alive"}],
-                           "drains":[{"kind":"target","name":"t1",
-                                      "waits_for":"3 open flows"}]})"),
-         answer("two", R"({"generation":6,"members":[],"drains":[]})"),
-         answer("three", R"({"generation":7,"switched":false})"), answer("four", nullptr),
-         answer("five", R"(["?"])")});
+    std::vector<instance_status> statuses =
+        read_statuses({answer("one", report_of_one().c_str()),
+                       answer("two", R"({"generation":6,"switched":6,"claims":false})"),
+                       answer("three", R"({"generation":7,"switched":6})"),
+                       answer("four", nullptr), answer("five", R"(["?"])")});
 };
 
 TEST(fleet, progress_tells_apart_who_is_behind_and_who_was_not_reached)
@@ -53,6 +59,14 @@
     CHECK_TRUE(is_complete(progress_of(statuses, {6})));
 }
 
+TEST(fleet, an_instance_that_cannot_claim_is_marked)
+{
+    std::ostringstream out;
+    print_status(out, statuses, {6}, false);
+
+    STRCMP_CONTAINS("no claims", out.str().c_str());
+}
+
 TEST(fleet, nobody_reached_is_not_in_force)
 {
     CHECK_FALSE(is_complete(progress_of({}, {1})));
@@ -64,9 +78,10 @@
     print_status(out, statuses, {7}, false);
 
     STRCMP_CONTAINS("target t1 on one waits for 3 open flows", out.str().c_str());
+    STRCMP_CONTAINS("switching", out.str().c_str());
     STRCMP_CONTAINS("BEHIND", out.str().c_str());
     STRCMP_CONTAINS("NOT REACHED", out.str().c_str());
-    STRCMP_CONTAINS("1 alive", out.str().c_str());
+    STRCMP_CONTAINS("1 alive, 1 dead (two)", out.str().c_str());
 }
 
 TEST_GROUP(fleet_metrics)
@@ -95,7 +110,7 @@
     LONGS_EQUAL(2, metrics.histograms.size());
     LONGS_EQUAL(10, histogram.counts.at(0));
     LONGS_EQUAL(12, total_of(histogram));
-    DOUBLES_EQUAL(5, metrics.counters.at("dropped"), 0);
+    LONGS_EQUAL(5, metrics.counters.at("dropped"));
 }
 
 TEST(fleet_metrics, what_is_missing_or_does_not_fit_is_told)
