--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -78,6 +78,17 @@
     return text;
 }
 
+leaf::result<endpoint> parse_option(const std::string& text, const std::string& option)
+{
+    return leaf::try_handle_some(
+        [&] { return parse_endpoint(text); },
+        [&](const malformed_endpoint& fault) -> leaf::result<endpoint>
+        {
+            return leaf::new_error(
+                usage_fault{fault.text, "Write " + option + " like \"127.0.0.1:8500\"."});
+        });
+}
+
 leaf::result<endpoint> platform_address(const command_options& options)
 {
     if (options.platform.empty())
@@ -85,14 +96,20 @@
         return leaf::new_error(usage_fault{
             "--platform", "Give the platform's address, or set KUMQUATPATH_PLATFORM."});
     }
-    return leaf::try_handle_some(
-        [&] { return parse_endpoint(options.platform); },
-        [](const malformed_endpoint& fault) -> leaf::result<endpoint>
-        {
-            return leaf::new_error(usage_fault{fault.text,
-                                               "Write the platform's address like "
-                                               "\"127.0.0.1:8500\"."});
-        });
+    return parse_option(options.platform, "--platform");
+}
+
+/// Returns the instances that the command line names.
+leaf::result<std::vector<platform_instance>>
+named_instances(const std::vector<std::string>& addresses)
+{
+    std::vector<platform_instance> list;
+    for (const std::string& each : addresses)
+    {
+        BOOST_LEAF_AUTO(address, parse_option(each, "--instance"));
+        list.push_back({.name = each, .operator_address = address});
+    }
+    return list;
 }
 
 leaf::result<exit_code> run_check(const client_context& context)
@@ -211,17 +228,44 @@
     return exit_code::success;
 }
 
-leaf::result<exit_code> run_status(const client_context& context, key_value_store& store)
+void tell_metrics(const client_context& context,
+                  const std::vector<platform_instance>& instances)
+{
+    const auto answers = ask_instances(instances, "/v1/metrics.json", ask_timeout);
+    print_metrics(context.out, add_up(answers), context.options.json);
+}
+
+exit_code tell_status(const client_context& context,
+                      const std::vector<instance_status>& statuses, generation in_force)
 {
-    BOOST_LEAF_AUTO(current, read_current(store));
-    const generation in_force = current ? current->envelope.generation : generation{};
-    BOOST_LEAF_AUTO(statuses, read_fleet(store));
     print_status(context.out, statuses, in_force, context.options.json);
     const generation_progress progress = progress_of(statuses, in_force);
     const bool is_whole = progress.behind.empty() && progress.unreachable.empty();
     return is_whole ? exit_code::success : exit_code::refused;
 }
 
+leaf::result<exit_code> run_status(const client_context& context, key_value_store& store)
+{
+    BOOST_LEAF_AUTO(current, read_current(store));
+    const generation in_force = current ? current->envelope.generation : generation{};
+    BOOST_LEAF_AUTO(statuses, read_fleet(store));
+    return tell_status(context, statuses, in_force);
+}
+
+/// Answers status or metrics from the instances that the command line names.
+leaf::result<exit_code> run_without_platform(const client_context& context)
+{
+    BOOST_LEAF_AUTO(instances, named_instances(context.options.instances));
+    if (context.options.verb == verb::metrics)
+    {
+        tell_metrics(context, instances);
+        return exit_code::success;
+    }
+    const auto statuses =
+        read_statuses(ask_instances(instances, "/v1/status", ask_timeout));
+    return tell_status(context, statuses, latest_of(statuses));
+}
+
 leaf::result<exit_code> run_query(const client_context& context, key_value_store& store)
 {
     const command_options& options = context.options;
@@ -249,9 +293,7 @@
     case verb::metrics:
     {
         BOOST_LEAF_AUTO(instances, store.instances());
-        print_metrics(context.out,
-                      add_up(ask_instances(instances, "/v1/metrics.json", ask_timeout)),
-                      options.json);
+        tell_metrics(context, instances);
         break;
     }
     default:
@@ -266,6 +308,10 @@
     {
         return run_check(context);
     }
+    if (!context.options.instances.empty())
+    {
+        return run_without_platform(context);
+    }
     BOOST_LEAF_AUTO(address, platform_address(context.options));
     platform_client store({.server = address});
     return is_command(context.options.verb) ? run_command(context, store)
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -61,6 +61,7 @@
         add_if(entry, argument::wait, timeout_);
         add_if(entry, argument::author, author_);
         add_if(entry, argument::last, last_);
+        add_if(entry, argument::instances, instances_);
     }
 
     leaf::result<command_options> parse(const verb_entry& entry,
@@ -86,6 +87,7 @@
         options.wait = wait_.getValue();
         options.timeout = std::chrono::seconds(timeout_.getValue());
         options.last = last_.getValue();
+        options.instances = instances_.getValue();
         if (base_.isSet())
         {
             options.base = generation{base_.getValue()};
@@ -150,6 +152,8 @@
     TCLAP::ValueArg<std::uint32_t> timeout_{"",    "timeout", "how long to wait",
                                             false, 60,        "SECONDS"};
     text author_{"", "author", "who submits the change", false, "", "NAME"};
+    TCLAP::MultiArg<std::string> instances_{"", "instance", "an instance to ask", false,
+                                            "ip:port"};
     number last_{"", "last", "how many generations to show", false, 20, "COUNT"};
 };
 
--- a/src/client/command_line.hpp
+++ b/src/client/command_line.hpp
@@ -65,6 +65,8 @@
     bool wait = false;
     /// How long --wait lasts.
     std::chrono::seconds timeout{60};
+    /// Operators' addresses of instances to ask in place of those on the platform's list.
+    std::vector<std::string> instances;
     /// How many generations the history shows.
     std::uint64_t last = 20;
 };
--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -1,6 +1,7 @@
 #include "client/commands.hpp"
 
 #include "client/failure.hpp"
+#include "model/edit_distance.hpp"
 
 #include <kumquatpath/model/configuration_check.hpp>
 
@@ -54,6 +55,25 @@
     section.get_object()[name] = json::object{{"state", "draining"}};
 }
 
+/// Returns the name of an object of the same kind that is nearest to the one of \p
+/// change, or nothing.
+std::string nearest_object(const json::value& document, const state_change& change)
+{
+    const bool is_target = change.kind == drain_kind::target;
+    std::vector<std::string> names;
+    for (const object_change& each : changes_between(json::object(), document))
+    {
+        const std::string_view section = is_target ? "pools" : "data_centres";
+        const std::string& name = is_target ? each.path.target : each.path.name;
+        if (each.path.section == section && !name.empty())
+        {
+            names.push_back(name);
+        }
+    }
+    const std::vector<std::string_view> candidates(names.begin(), names.end());
+    return std::string(nearest(change.name, candidates));
+}
+
 std::string kind_name(drain_kind kind)
 {
     switch (kind)
@@ -144,7 +164,9 @@
     if (object == nullptr)
     {
         return leaf::new_error(
-            unknown_object{.kind = kind_name(change.kind), .name = change.name});
+            unknown_object{.kind = kind_name(change.kind),
+                           .name = change.name,
+                           .suggestion = nearest_object(document, change)});
     }
     (*object)["state"] =
         change.state == administrative_state::active ? "active" : "draining";
--- a/src/client/failure.cpp
+++ b/src/client/failure.cpp
@@ -199,9 +199,8 @@
 {
     return {.code = exit_code::platform_away,
             .kind = std::move(kind),
-            .message = reason +
-                       " Nothing was changed: the edit is not accepted, and what "
-                       "is in force stays in force."};
+            .message = reason + " Nothing was changed: no edit is accepted while the "
+                                "platform is away, and what is in force stays in force."};
 }
 
 failure_report report_of(const store_unreachable&)
--- a/src/client/fleet.cpp
+++ b/src/client/fleet.cpp
@@ -179,6 +179,16 @@
     return progress;
 }
 
+generation latest_of(const std::vector<instance_status>& statuses)
+{
+    generation latest;
+    for (const instance_status& each : statuses)
+    {
+        latest = std::max(latest, each.report ? each.report->generation : generation{});
+    }
+    return latest;
+}
+
 bool is_complete(const generation_progress& progress)
 {
     return progress.in_force > 0 && progress.behind.empty();
--- a/src/client/fleet.hpp
+++ b/src/client/fleet.hpp
@@ -91,8 +91,11 @@
 /// Returns whether every instance that was reached, and at least one, has it in force.
 bool is_complete(const generation_progress& progress);
 
+/// Returns the latest generation that any instance has accepted.
+generation latest_of(const std::vector<instance_status>& statuses);
+
 /// Prints a table of the instances, their members and drains, or JSON. \p in_force is the
-/// generation that the platform holds.
+/// latest generation that is known.
 void print_status(std::ostream& out, const std::vector<instance_status>& statuses,
                   generation in_force, bool as_json);
 
--- a/src/client/fleet_output.cpp
+++ b/src/client/fleet_output.cpp
@@ -166,7 +166,7 @@
             << std::setw(number_width) << number << std::setw(state_width) << state
             << members << '\n';
     };
-    out << "Generation " << in_force.value << " is on the platform.\n\n";
+    out << "The latest generation is " << in_force.value << ".\n\n";
     line("instance", "data centre", "generation", "state", "members");
     for (const instance_status& each : statuses)
     {
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -174,32 +174,41 @@
     verb_entry{
         .verb = verb::status,
         .word = "status",
-        .synopsis = "status",
+        .arguments = takes(argument::instances),
+        .synopsis = "status [--instance ip:port]...",
         .summary = "show what is in force where, members and drains",
         .help =
             R"(Asks every instance on the platform's list for the generation that it has in force,
 the members that it sees, and the drains in progress with what each still waits for.
 Ends with 1 if an instance is behind or can't be reached. The states are:
-  ok           its packets follow the generation that is on the platform
+  ok           its packets follow the latest generation
   switching    it has that generation, and its packets will follow it in a moment
   BEHIND       it has an earlier generation
   no claims    it refuses submissions that may not be repeated, as it holds no claim
   leaving      it is shutting down and finishes what it has
   NOT REACHED  it did not answer within a second
 
+  --instance ip:port  ask this instance at its operators' address, and not the platform;
+                      may be given several times, also while the platform is away
+
 Examples:
   kumquatpath status
   kumquatpath status --json
+  kumquatpath status --instance 127.0.0.1:9600 --instance 127.0.0.2:9600
 )"},
     verb_entry{
         .verb = verb::metrics,
         .word = "metrics",
-        .synopsis = "metrics",
+        .arguments = takes(argument::instances),
+        .synopsis = "metrics [--instance ip:port]...",
         .summary = "show answer times by service and class, and counters",
         .help =
             R"(Adds up the histograms and counters of every instance that can be reached and shows
 them as bars and quantiles, by service and class.
 
+  --instance ip:port  ask this instance at its operators' address, and not the platform;
+                      may be given several times, also while the platform is away
+
 Examples:
   kumquatpath metrics
   kumquatpath metrics --json
--- a/src/client/verb_table.hpp
+++ b/src/client/verb_table.hpp
@@ -25,6 +25,7 @@
     author = 1U << 6U,
     last = 1U << 7U,
     cut_flows = 1U << 8U,
+    instances = 1U << 9U,
 };
 
 /// One line of the table.
--- a/test/client/client_test.cpp
+++ b/test/client/client_test.cpp
@@ -45,7 +45,7 @@
 {
     LONGS_EQUAL(3, run({"--platform", "127.0.0.1:1", "apply",
                         KUMQUATPATH_SAMPLES "/nairobi.json"}));
-    STRCMP_CONTAINS("the edit is not accepted", errors.str().c_str());
+    STRCMP_CONTAINS("Nothing was changed: no edit is accepted", errors.str().c_str());
 }
 
 TEST(client, a_wrong_command_line_ends_with_2)
--- a/test/client/publication_test.cpp
+++ b/test/client/publication_test.cpp
@@ -43,7 +43,8 @@
         [](const too_many_epochs&) { return text("too many epochs"); },
         [](const flows_at_risk& failure) { return "at risk " + failure.targets.at(0); },
         [](const base_required&) { return text("base required"); },
-        [](const unknown_object&) { return text("unknown object"); },
+        [](const unknown_object& failure)
+        { return "unknown object, but " + failure.suggestion; },
         [](const unknown_generation&) { return text("unknown generation"); },
         [](const nothing_in_force&) { return text("nothing in force"); },
         [](const outcome_unknown&) { return text("outcome unknown"); },
@@ -304,7 +305,12 @@
     STRCMP_EQUAL("published 3", apply_document(file, generation{2}).c_str());
 }
 
-TEST(publication, a_drain_of_nothing_is_refused)
+TEST(publication, a_drain_of_nothing_is_refused_with_the_nearest_name)
 {
-    STRCMP_EQUAL("unknown object", drain("t9").c_str());
+    auto file = small_document();
+    const boost::json::value target = at(file, "pools", "p", "targets", "t1");
+    at(file, "pools", "p", "targets", "target-1") = target;
+    at(file, "pools", "p", "targets", "target-1", "address") = "127.0.0.1:9003";
+    STRCMP_EQUAL("published 2", apply_document(file, generation{1}).c_str());
+    STRCMP_EQUAL("unknown object, but target-1", drain("target-11").c_str());
 }
