--- a/src/client/command_line.hpp
+++ b/src/client/command_line.hpp
@@ -60,9 +60,13 @@
     std::optional<kumquatpath::generation> generation;
     /// The generation that a file was edited from.
     std::optional<kumquatpath::generation> base;
+    /// Whether the change may take a target away that open flows may rest on.
+    bool may_cut_flows = false;
     bool wait = false;
     /// How long --wait lasts.
     std::chrono::seconds timeout{60};
+    /// Operators' addresses of instances to ask in place of those on the platform's list.
+    std::vector<std::string> instances;
     /// How many generations the history shows.
     std::uint64_t last = 20;
 };
--- a/src/client/verb_table.hpp
+++ b/src/client/verb_table.hpp
@@ -24,6 +24,8 @@
     wait = 1U << 5U,
     author = 1U << 6U,
     last = 1U << 7U,
+    cut_flows = 1U << 8U,
+    instances = 1U << 9U,
 };
 
 /// One line of the table.
