--- a/src/decision/flow_location.cpp
+++ b/src/decision/flow_location.cpp
@@ -52,7 +52,7 @@
 {
     const keeper_group& kept = router.groups[group];
     return kept.now.first == router.options.self && kept.is_complete &&
-           now - kept.changed >= 2 * router.options.view_convergence;
+           now - kept.gained >= 2 * router.options.view_convergence;
 }
 
 /// Lists the new flow at the keepers of its slot, one of which may be this instance.
