Batch what replicas are told, and measure the target size

Most of it was the 40 bytes of each message: a batch went to every peer every 100 ms.

Change: batches go every 500 ms, and 10 hints a second instead of 20. Openers remember flows for 5 s, so a keeper that dies between two batches loses nothing. The bench also measures what placements and keepers cost at the target size.

--- a/bench/survival_bench.cpp
+++ b/bench/survival_bench.cpp
@@ -228,6 +228,95 @@
               most_control_bytes);
 }
 
+/// Returns a configuration of the target size: 490 services before 5,400 targets.
+configuration target_size_configuration()
+{
+    constexpr std::uint32_t service_count = 490;
+    constexpr std::uint32_t target_count = 5400;
+    configuration whole;
+    whole.generation = {1};
+    whole.data_centres.push_back({.id = {1}});
+    whole.pools.resize(service_count);
+    for (std::uint32_t i = 0; i < target_count; ++i)
+    {
+        whole.pools[i % service_count].targets.push_back(
+            {.id = {i + 1}, .data_centre = {1}});
+    }
+    for (std::uint32_t i = 0; i < service_count; ++i)
+    {
+        whole.services.push_back({.id = {i + 1}, .pool = i});
+    }
+    return whole;
+}
+
+/// Drains the first target of pool \p pool at \p wall.
+void drain_first(configuration& whole, std::uint32_t pool, wall_time wall)
+{
+    ++whole.generation.value;
+    const auto before = active_targets(whole, whole.pools[pool]);
+    whole.pools[pool].targets[0].state = administrative_state::draining;
+    whole.services[pool].epochs.push_back({whole.generation, wall, before});
+}
+
+double milliseconds_of(const std::function<void()>& what)
+{
+    const auto start = std::chrono::steady_clock::now();
+    what();
+    const std::chrono::duration<double, std::milli> span =
+        std::chrono::steady_clock::now() - start;
+    return span.count();
+}
+
+double bytes_of(const placement_plan& plan)
+{
+    std::size_t bytes = 0;
+    for (const auto& [id, placement] : plan.services)
+    {
+        bytes += sizeof *placement + placement->current.size() * sizeof(std::uint16_t) +
+                 placement->moves.size() * sizeof(moved_slot) +
+                 placement->stays.size() * sizeof(slot_stay);
+    }
+    return static_cast<double>(bytes);
+}
+
+/// Measures what placements and keepers cost an instance at the target size.
+void measure_cost(report& out)
+{
+    constexpr std::uint32_t instance_count = 570;
+    constexpr std::uint32_t changed_services = 20;
+    const wall_time wall(std::chrono::hours(1000));
+    configuration whole = target_size_configuration();
+    std::shared_ptr<const placement_plan> plan;
+    const double first =
+        milliseconds_of([&] { plan = plan_placements(whole, nullptr, wall); });
+    double changes = 0;
+    for (std::uint32_t i = 0; i < changed_services; ++i)
+    {
+        drain_first(whole, i, wall);
+        changes +=
+            milliseconds_of([&] { plan = plan_placements(whole, plan.get(), wall); });
+    }
+    member_view view{.self = {1}};
+    for (std::uint32_t i = 1; i <= instance_count; ++i)
+    {
+        view.members.push_back({.instance = {i}, .data_centre = {i % 7}});
+    }
+    const auto groups = std::make_unique<keeper_groups>();
+    const double adopted =
+        milliseconds_of([&] { adopt_keepers(*groups, view, time_point(seconds(1))); });
+    out.add({"slots-keepers", "target_size.plan_first", first, "ms", {}});
+    out.add({"slots-keepers",
+             "target_size.plan_change",
+             changes / changed_services,
+             "ms",
+             {}});
+    out.add({"slots-keepers", "target_size.plan_memory", bytes_of(*plan), "bytes", {}});
+    out.add({"slots-keepers", "target_size.adopt_view", adopted, "ms", {}});
+    out.add({"slots-keepers", "target_size.flow_entry",
+             static_cast<double>(sizeof(flow_entry)), "bytes",
+             metric_bound{bound_kind::at_most, 32}});
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -245,6 +334,10 @@
         {
             run(way, what, options.seed, out);
         }
+        if (way.is_bounded())
+        {
+            measure_cost(out);
+        }
     }
     return out.exit_code();
 }
--- a/include/kumquatpath/decision/flow_router.hpp
+++ b/include/kumquatpath/decision/flow_router.hpp
@@ -59,6 +59,8 @@
     duration wake_guard = std::chrono::milliseconds(500);
     /// The age at which a listed flow is copied to the replica; shorter flows never are.
     duration replication_delay = std::chrono::milliseconds(200);
+    /// The time between two batches for replicas: a message costs more than its entries.
+    duration replication_interval = std::chrono::milliseconds(500);
     /// How long instances may disagree on who is there. For as long, a new keeper leaves
     /// new flows to the former one; for twice as long, it asks the former one about flows
     /// that it does not hold. An instance that leaves must stay for longer than that. A
@@ -72,7 +74,7 @@
     /// The time without a packet after which a flow is forgotten.
     duration idle_timeout = std::chrono::minutes(30);
     /// Hints sent to other instances, at most, each second.
-    std::uint32_t hints_per_second = 20;
+    std::uint32_t hints_per_second = 10;
     /// Bytes of listings and requests for a hand-over, at most, each second.
     std::uint32_t hand_over_rate = 3000;
     flow_mechanisms mechanisms;
@@ -156,6 +158,8 @@
     time_point woken{};
     bool was_paused = false;
     std::deque<unreplicated_flow> unreplicated;
+    /// When the last batch for replicas was sent.
+    time_point replicated{};
     std::deque<flow_key> closed;
     std::deque<remembered_open> opens;
     std::vector<waiting_request> requests;
--- a/src/decision/flow_hand_over.cpp
+++ b/src/decision/flow_hand_over.cpp
@@ -272,6 +272,7 @@
     }
     tell_new_keepers(router, before, now, actions);
     // What has just been listed may concern keepers that have changed, so it is told now.
+    router.replicated = {};
     for (unreplicated_flow& each : router.unreplicated)
     {
         each.listed = now - router.options.replication_delay;
--- a/src/decision/flow_keeping.cpp
+++ b/src/decision/flow_keeping.cpp
@@ -148,6 +148,11 @@
 
 void replicate(flow_router& router, time_point now, action_list& actions)
 {
+    if (now - router.replicated < router.options.replication_interval)
+    {
+        return;
+    }
+    router.replicated = now;
     std::vector<addressed_entry> entries;
     while (!router.unreplicated.empty() &&
            now - router.unreplicated.front().listed >= router.options.replication_delay)
