Keep control within its bound when a data centre is withdrawn

Cause: withdrawing a data centre moves a third of the slots, and at 3,000 new flows a second an instance its replicas would have to be told of about 300 flows a second, each opened and closed: more than 6,000 bytes a second by arithmetic.

Change: entries for replicas have a rate of 2,400 bytes a second, hand-overs one of 1,500 with a burst of 9,000. Above it a flow is copied later, and not at all if it is over by then. Answers are sent before new requests, a request is repeated after 30 s, and there are 512 keeper groups instead of 1,024, which halves the messages of a hand-over.

Conclusion: the budget holds by construction; what it costs is that a replica is told later.

--- a/bench/survival_bench.cpp
+++ b/bench/survival_bench.cpp
@@ -67,6 +67,11 @@
     at(where, seconds(8), [&where] { where.drain({{3}}); });
 }
 
+void withdraw_early(world& where)
+{
+    at(where, seconds(8), [&where] { where.drain_data_centre({2}); });
+}
+
 void drain_data_centre(world& where)
 {
     at(where, seconds(20),
@@ -168,6 +173,10 @@
      .changes = drain_early,
      .length = seconds(30),
      .options = {.flows_per_second = 24000}},
+    {.name = "full_rate_withdrawal",
+     .changes = withdraw_early,
+     .length = seconds(30),
+     .options = {.flows_per_second = 24000}},
     {.name = "instance_dies", .changes = instance_dies},
     {.name = "instance_freezes", .changes = instance_freezes},
     {.name = "data_centre_cut", .changes = data_centre_cut, .is_bounded = false},
--- a/include/kumquatpath/decision/flow_router.hpp
+++ b/include/kumquatpath/decision/flow_router.hpp
@@ -75,8 +75,13 @@
     duration idle_timeout = std::chrono::minutes(30);
     /// Hints sent to other instances, at most, each second.
     std::uint32_t hints_per_second = 10;
-    /// Bytes of listings and requests for a hand-over, at most, each second.
-    std::uint32_t hand_over_rate = 3000;
+    /// Bytes of listings and requests for a hand-over, at most, each second; a short one
+    /// may take hand_over_burst at once.
+    std::uint32_t hand_over_rate = 1500;
+    std::uint32_t hand_over_burst = 9000;
+    /// Bytes of entries for replicas, at most, each second. Above it, flows are copied
+    /// later, and those that are over by then not at all.
+    std::uint32_t replication_rate = 2400;
     flow_mechanisms mechanisms;
 };
 
@@ -92,10 +97,11 @@
     std::uint64_t entries_refused = 0;
 };
 
-/// Allows a rate of units, and a burst of one second's worth.
+/// Allows a rate of units a second, and a burst.
 struct token_bucket
 {
     double rate = 0;
+    double burst = 0;
     double tokens = 0;
     time_point filled{};
 };
@@ -166,6 +172,7 @@
     std::deque<queued_listing> outbox;
     token_bucket hint_budget;
     token_bucket hand_over_budget;
+    token_bucket replication_budget;
     flow_router_counts counts;
 };
 
--- a/include/kumquatpath/decision/keeper_groups.hpp
+++ b/include/kumquatpath/decision/keeper_groups.hpp
@@ -18,7 +18,7 @@
 {
 
 /// The count of keeper groups over all services.
-inline constexpr std::uint16_t keeper_group_count = 1024;
+inline constexpr std::uint16_t keeper_group_count = 512;
 
 /// The two instances that keep one group; 0 stands for "none".
 struct keepers
--- a/src/decision/flow_hand_over.cpp
+++ b/src/decision/flow_hand_over.cpp
@@ -13,12 +13,12 @@
 
 /// What a message costs besides its entries, and each entry, in encoded bytes.
 constexpr double message_bytes = 40;
-constexpr double entry_bytes = 12;
 /// A listing of this many entries fits in one datagram.
 constexpr std::size_t most_entries = 100;
 /// The most flows that are told to new keepers at one change of view.
 constexpr std::size_t most_told = 1024;
-constexpr std::chrono::seconds ask_again_after{5};
+/// Longer than a large hand-over takes, since asking again takes from the same budget.
+constexpr std::chrono::seconds ask_again_after{30};
 /// A former keeper that has not told everything by then will not.
 constexpr std::chrono::seconds longest_hand_over{120};
 
@@ -145,7 +145,7 @@
     // An instance that is asked before it knows that it became a keeper knows nothing
     // yet.
     const bool has_kept = group.gained != time_point{};
-    const bool is_early = !has_kept && age < ask_again_after;
+    const bool is_early = !has_kept && age < 2 * router.options.view_convergence;
     // Instances that do not know of the new keeper yet still open flows here.
     return waits_itself || is_early || age < router.options.view_convergence;
 }
@@ -230,6 +230,13 @@
     }
 }
 
+token_bucket make_bucket(std::uint32_t rate, std::uint32_t burst)
+{
+    return {.rate = static_cast<double>(rate),
+            .burst = static_cast<double>(burst),
+            .tokens = static_cast<double>(burst)};
+}
+
 } // namespace
 
 namespace detail
@@ -240,9 +247,10 @@
     forget_old_opens(router, now);
     if (router.options.mechanisms.hand_over)
     {
-        ask_for_groups(router, now, actions);
+        // Answers come first, or instances that start together would only ever ask.
         answer_requests(router, now);
         send_queued(router, now, actions);
+        ask_for_groups(router, now, actions);
     }
 }
 
@@ -254,8 +262,11 @@
     router.options = options;
     router.view.self = options.self;
     router.flows = make_flow_table(options.most_flows);
-    router.hint_budget.rate = options.hints_per_second;
-    router.hand_over_budget.rate = options.hand_over_rate;
+    router.hint_budget = make_bucket(options.hints_per_second, options.hints_per_second);
+    router.hand_over_budget =
+        make_bucket(options.hand_over_rate, options.hand_over_burst);
+    router.replication_budget =
+        make_bucket(options.replication_rate, options.replication_rate);
     return router;
 }
 
--- a/src/decision/flow_keeping.cpp
+++ b/src/decision/flow_keeping.cpp
@@ -93,6 +93,30 @@
     return true;
 }
 
+/// Collects the flows that have lasted and that their replica does not know.
+void copy_lasting_flows(flow_router& router, time_point now,
+                        std::vector<addressed_entry>& entries)
+{
+    while (!router.unreplicated.empty() &&
+           now - router.unreplicated.front().listed >= router.options.replication_delay)
+    {
+        const flow_key key = router.unreplicated.front().key;
+        flow_entry* entry = find_flow(router.flows, key);
+        const bool is_wanted =
+            entry != nullptr && !entry->is_tentative && !entry->is_replicated;
+        if (is_wanted && !take_tokens(router.replication_budget, entry_bytes, now))
+        {
+            return;
+        }
+        router.unreplicated.pop_front();
+        if (is_wanted)
+        {
+            entry->is_replicated = true;
+            address(router, key, entry->target, entries);
+        }
+    }
+}
+
 } // namespace
 
 namespace detail
@@ -116,7 +140,7 @@
 bool take_tokens(token_bucket& bucket, double amount, time_point now)
 {
     const double seconds = std::chrono::duration<double>(now - bucket.filled).count();
-    bucket.tokens = std::min(bucket.rate, bucket.tokens + seconds * bucket.rate);
+    bucket.tokens = std::min(bucket.burst, bucket.tokens + seconds * bucket.rate);
     bucket.filled = now;
     if (bucket.tokens < amount)
     {
@@ -154,23 +178,13 @@
     }
     router.replicated = now;
     std::vector<addressed_entry> entries;
-    while (!router.unreplicated.empty() &&
-           now - router.unreplicated.front().listed >= router.options.replication_delay)
-    {
-        const flow_key key = router.unreplicated.front().key;
-        router.unreplicated.pop_front();
-        flow_entry* entry = find_flow(router.flows, key);
-        if (entry != nullptr && !entry->is_tentative && !entry->is_replicated)
-        {
-            entry->is_replicated = true;
-            address(router, key, entry->target, entries);
-        }
-    }
-    for (const flow_key key : router.closed)
+    copy_lasting_flows(router, now, entries);
+    while (!router.closed.empty() &&
+           take_tokens(router.replication_budget, entry_bytes, now))
     {
-        address(router, key, {}, entries);
+        address(router, router.closed.front(), {}, entries);
+        router.closed.pop_front();
     }
-    router.closed.clear();
     send_listings(entries, actions);
 }
 
--- a/src/decision/flow_router_detail.hpp
+++ b/src/decision/flow_router_detail.hpp
@@ -9,6 +9,9 @@
 namespace kumquatpath::detail
 {
 
+/// What an entry of a listing takes, in encoded bytes.
+inline constexpr double entry_bytes = 12;
+
 /// Returns the wall time at \p now.
 wall_time wall_at(const flow_router& router, time_point now);
 
