--- a/include/kumquatpath/decision/flow_router.hpp
+++ b/include/kumquatpath/decision/flow_router.hpp
@@ -59,6 +59,8 @@
     duration wake_guard = std::chrono::milliseconds(500);
     /// The age at which a listed flow is copied to the replica; shorter flows never are.
     duration replication_delay = std::chrono::milliseconds(200);
+    /// The time between two batches for replicas: a message costs more than its entries.
+    duration replication_interval = std::chrono::milliseconds(500);
     /// How long instances may disagree on who is there. For as long, a new keeper leaves
     /// new flows to the former one; for twice as long, it asks the former one about flows
     /// that it does not hold. An instance that leaves must stay for longer than that. A
@@ -72,9 +74,14 @@
     /// The time without a packet after which a flow is forgotten.
     duration idle_timeout = std::chrono::minutes(30);
     /// Hints sent to other instances, at most, each second.
-    std::uint32_t hints_per_second = 20;
-    /// Bytes of listings and requests for a hand-over, at most, each second.
-    std::uint32_t hand_over_rate = 3000;
+    std::uint32_t hints_per_second = 10;
+    /// Bytes of listings and requests for a hand-over, at most, each second; a short one
+    /// may take hand_over_burst at once.
+    std::uint32_t hand_over_rate = 1500;
+    std::uint32_t hand_over_burst = 9000;
+    /// Bytes of entries for replicas, at most, each second. Above it, flows are copied
+    /// later, and those that are over by then not at all.
+    std::uint32_t replication_rate = 2400;
     flow_mechanisms mechanisms;
 };
 
@@ -90,10 +97,11 @@
     std::uint64_t entries_refused = 0;
 };
 
-/// Allows a rate of units, and a burst of one second's worth.
+/// Allows a rate of units a second, and a burst.
 struct send_allowance
 {
     double rate = 0;
+    double burst = 0;
     double tokens = 0;
     time_point filled{};
 };
@@ -156,12 +164,15 @@
     time_point woken{};
     bool was_paused = false;
     std::deque<unreplicated_flow> unreplicated;
+    /// When the last batch for replicas was sent.
+    time_point replicated{};
     std::deque<flow_key> closed;
     std::deque<remembered_open> opens;
     std::vector<waiting_request> requests;
     std::deque<queued_listing> outbox;
     send_allowance hint_budget;
     send_allowance hand_over_budget;
+    send_allowance replication_budget;
     flow_router_counts counts;
 };
 
