Wait between the attempts of a publication

Cause: after a lost race or a lost answer the next attempt followed at once; eight attempts were over in 4 ms, so a platform that lost answers for a moment, or a few operators at once, could use them up.

Ruled out: more attempts without a pause (they load a platform that is in trouble).

Change: the client waits 100 ms to 1 s, with jitter, before each further attempt.

--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -50,6 +50,17 @@
         std::chrono::system_clock::now());
 }
 
+/// Waits longer before each attempt, and not for the same time as other clients.
+void back_off(std::size_t attempt)
+{
+    constexpr std::chrono::milliseconds first_pause{50};
+    constexpr std::chrono::milliseconds longest_pause{1000};
+    const auto pause = std::min(first_pause * (1 << attempt), longest_pause);
+    std::random_device source;
+    std::uniform_int_distribution<std::int64_t> jitter(pause.count() / 2, pause.count());
+    std::this_thread::sleep_for(std::chrono::milliseconds(jitter(source)));
+}
+
 /// Returns a random text that tells this submission from every other.
 std::string new_submission()
 {
@@ -133,7 +144,8 @@
     const submitter by{.author = options.author,
                        .submission = new_submission(),
                        .now = wall_now(),
-                       .may_cut_flows = options.may_cut_flows};
+                       .may_cut_flows = options.may_cut_flows,
+                       .pause = back_off};
     switch (options.verb)
     {
     case verb::drain:
--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -147,7 +147,8 @@
                     .edited = std::move(read.document),
                     .submission = by.submission,
                     .author = by.author,
-                    .may_cut_flows = by.may_cut_flows},
+                    .may_cut_flows = by.may_cut_flows,
+                    .pause = by.pause},
                    by.now);
 }
 
@@ -183,7 +184,8 @@
                     .edited = std::move(edited),
                     .submission = by.submission,
                     .author = by.author,
-                    .may_cut_flows = by.may_cut_flows},
+                    .may_cut_flows = by.may_cut_flows,
+                    .pause = by.pause},
                    by.now);
 }
 
@@ -197,7 +199,8 @@
                     .edited = std::move(earlier.document),
                     .submission = by.submission,
                     .author = by.author,
-                    .may_cut_flows = by.may_cut_flows},
+                    .may_cut_flows = by.may_cut_flows,
+                    .pause = by.pause},
                    by.now);
 }
 
--- a/src/client/commands.hpp
+++ b/src/client/commands.hpp
@@ -25,6 +25,7 @@
     wall_time now;
     /// Whether the change may take a target away that open flows may rest on.
     bool may_cut_flows = false;
+    pause_function pause;
 };
 
 /// Publishes the document in \p text, which was edited from \p base or, if that is empty,
--- a/src/client/publication.cpp
+++ b/src/client/publication.cpp
@@ -43,13 +43,23 @@
         { return write_outcome::answer_lost; });
 }
 
+void pause_before(std::size_t attempt, const pause_function& pause)
+{
+    if (attempt > 0 && pause)
+    {
+        pause(attempt);
+    }
+}
+
 /// Copies the configuration in force into the history. Nothing but what was in force is
 /// ever written there, so writing it twice is harmless.
-leaf::result<void> archive(key_value_store& store, const configuration_envelope& current)
+leaf::result<void> archive(key_value_store& store, const configuration_envelope& current,
+                           const pause_function& pause)
 {
     BOOST_LEAF_AUTO(text, write_envelope(current));
     for (std::size_t attempt = 0; attempt < most_attempts; ++attempt)
     {
+        pause_before(attempt, pause);
         BOOST_LEAF_AUTO(outcome, try_write(store, {.key = history_key(current.generation),
                                                    .value = text}));
         if (outcome != write_outcome::answer_lost)
@@ -98,6 +108,7 @@
     {
         for (std::size_t attempt = 0; attempt < most_attempts; ++attempt)
         {
+            pause_before(attempt, edit_.pause);
             BOOST_LEAF_AUTO(done, attempt_once());
             if (done)
             {
@@ -176,7 +187,7 @@
     {
         if (current)
         {
-            BOOST_LEAF_CHECK(archive(store_, current->envelope));
+            BOOST_LEAF_CHECK(archive(store_, current->envelope, edit_.pause));
         }
         BOOST_LEAF_AUTO(text, write_envelope(next));
         BOOST_LEAF_AUTO(
--- a/src/client/publication.hpp
+++ b/src/client/publication.hpp
@@ -12,6 +12,7 @@
 #include <boost/json/value.hpp>
 #include <boost/leaf/result.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -70,6 +71,10 @@
 read_generation(key_value_store& store,
                 const std::optional<current_configuration>& current, generation wanted);
 
+/// Waits before attempt number \c attempt of a write; the first one, 0, is not waited
+/// for.
+using pause_function = std::function<void(std::size_t attempt)>;
+
 /// An edit: what leads from one document to another.
 struct edit_options
 {
@@ -82,6 +87,8 @@
     std::string author;
     /// Whether the edit may take a target away that open flows may rest on.
     bool may_cut_flows = false;
+    /// Empty: attempts follow each other at once.
+    pause_function pause;
 };
 
 /// What became of a published edit.
--- a/test/client/publication_test.cpp
+++ b/test/client/publication_test.cpp
@@ -151,6 +151,22 @@
     LONGS_EQUAL(2, priority_in(2));
 }
 
+TEST(publication, each_attempt_after_the_first_is_waited_for)
+{
+    store.faults = {write_fault::lost_without_effect, write_fault::lost_without_effect};
+    std::string waits;
+    submitter patient = by("bo");
+    patient.pause = [&](std::size_t attempt)
+    {
+        waits += std::to_string(attempt);
+    };
+
+    STRCMP_EQUAL(
+        "published 2",
+        told([&] { return change_state(store, {.name = "t1"}, patient); }).c_str());
+    STRCMP_EQUAL("12", waits.c_str());
+}
+
 TEST(publication, a_delayed_write_takes_effect_once)
 {
     store.faults = {write_fault::delayed};
