Drain several objects in one generation

Cause: eight sets of targets are remembered for each service and flow lifetime, so of ten targets that were drained one by one two were refused for an hour.

Ruled out: a larger bound (placements are looked up in each of them, and the stored value grows with them).

Change: drain and undrain take several names of one kind and publish them together or not at all.

Measured: client tests 39 of 39, among them that nothing is published if one of the names is unknown.

--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -149,10 +149,10 @@
     switch (options.verb)
     {
     case verb::drain:
-        return change_state(store, {options.kind, options.name}, by);
+        return change_state(store, {options.kind, options.names}, by);
     case verb::undrain:
         return change_state(
-            store, {options.kind, options.name, administrative_state::active}, by);
+            store, {options.kind, options.names, administrative_state::active}, by);
     case verb::rollback:
         return roll_back(store, *options.generation, by);
     default:
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -52,7 +52,7 @@
         line_.add(json_);
         add_if(entry, argument::file, file_);
         add_if(entry, argument::object, kind_);
-        add_if(entry, argument::object, name_);
+        add_if(entry, argument::object, names_);
         add_if(entry, argument::past_generation, generation_);
         add_if(entry, argument::optional_generation, chosen_generation_);
         add_if(entry, argument::base, base_);
@@ -82,7 +82,7 @@
         options.author = author_.isSet() ? author_.getValue() : environment.user;
         options.json = json_.getValue();
         options.file = file_.getValue();
-        options.name = name_.getValue();
+        options.names = names_.getValue();
         options.may_cut_flows = cut_flows_.getValue();
         options.wait = wait_.getValue();
         options.timeout = std::chrono::seconds(timeout_.getValue());
@@ -141,7 +141,8 @@
     TCLAP::SwitchArg json_{"", "json", "print JSON"};
     unlabelled_text file_{"file", "a configuration document", true, "", "FILE"};
     unlabelled_text kind_{"kind", "what kind of object", true, "", "KIND"};
-    unlabelled_text name_{"name", "the object's name", true, "", "NAME"};
+    TCLAP::UnlabeledMultiArg<std::string> names_{"name", "the objects' names", true,
+                                                 "NAME"};
     TCLAP::UnlabeledValueArg<std::uint64_t> generation_{"generation", "a generation",
                                                         true, 0, "GENERATION"};
     number chosen_generation_{"", "generation", "a generation", false, 0, "GENERATION"};
--- a/src/client/command_line.hpp
+++ b/src/client/command_line.hpp
@@ -54,7 +54,7 @@
     /// A document's file name; "-" is the standard input.
     std::string file;
     drain_kind kind = drain_kind::target;
-    std::string name;
+    std::vector<std::string> names;
     std::string author;
     /// The generation that a rollback or a query asks for.
     std::optional<kumquatpath::generation> generation;
--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -16,13 +16,14 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-/// Returns the object of \p change in \p document, or null.
-json::object* find_object(json::value& document, const state_change& change)
+/// Returns the object called \p wanted in \p document, or null.
+json::object* find_object(json::value& document, drain_kind kind,
+                          const std::string& wanted)
 {
     json::object& root = document.get_object();
-    const json::string_view name(change.name.data(), change.name.size());
+    const json::string_view name(wanted.data(), wanted.size());
     json::value* found = nullptr;
-    if (change.kind == drain_kind::data_centre)
+    if (kind == drain_kind::data_centre)
     {
         found = root.at("data_centres").get_object().if_contains(name);
     }
@@ -39,15 +40,16 @@
 }
 
 /// Notes an instance in the document while it is being withdrawn, and only then.
-void set_instance_state(json::value& document, const state_change& change)
+void set_instance_state(json::value& document, const std::string& instance,
+                        administrative_state state)
 {
-    const json::string_view name(change.name.data(), change.name.size());
+    const json::string_view name(instance.data(), instance.size());
     json::value& section = document.get_object()["instances"];
     if (!section.is_object())
     {
         section.emplace_object();
     }
-    if (change.state == administrative_state::active)
+    if (state == administrative_state::active)
     {
         section.get_object().erase(name);
         return;
@@ -55,11 +57,11 @@
     section.get_object()[name] = json::object{{"state", "draining"}};
 }
 
-/// Returns the name of an object of the same kind that is nearest to the one of \p
-/// change, or nothing.
-std::string nearest_object(const json::value& document, const state_change& change)
+/// Returns the name of an object of \p kind that is nearest to \p wanted, or nothing.
+std::string nearest_object(const json::value& document, drain_kind kind,
+                           const std::string& wanted)
 {
-    const bool is_target = change.kind == drain_kind::target;
+    const bool is_target = kind == drain_kind::target;
     std::vector<std::string> names;
     for (const object_change& each : changes_between(json::object(), document))
     {
@@ -71,7 +73,7 @@
         }
     }
     const std::vector<std::string_view> candidates(names.begin(), names.end());
-    return std::string(nearest(change.name, candidates));
+    return std::string(nearest(wanted, candidates));
 }
 
 std::string kind_name(drain_kind kind)
@@ -156,21 +158,24 @@
                                      const state_change& change)
 {
     json::value edited = document;
-    if (change.kind == drain_kind::instance)
+    for (const std::string& name : change.names)
     {
-        set_instance_state(edited, change);
-        return edited;
-    }
-    json::object* const object = find_object(edited, change);
-    if (object == nullptr)
-    {
-        return leaf::new_error(
-            unknown_object{.kind = kind_name(change.kind),
-                           .name = change.name,
-                           .suggestion = nearest_object(document, change)});
+        if (change.kind == drain_kind::instance)
+        {
+            set_instance_state(edited, name, change.state);
+            continue;
+        }
+        json::object* const object = find_object(edited, change.kind, name);
+        if (object == nullptr)
+        {
+            return leaf::new_error(unknown_object{
+                .kind = kind_name(change.kind),
+                .name = name,
+                .suggestion = nearest_object(document, change.kind, name)});
+        }
+        (*object)["state"] =
+            change.state == administrative_state::active ? "active" : "draining";
     }
-    (*object)["state"] =
-        change.state == administrative_state::active ? "active" : "draining";
     return edited;
 }
 
--- a/src/client/commands.hpp
+++ b/src/client/commands.hpp
@@ -13,6 +13,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace kumquatpath
 {
@@ -35,15 +36,15 @@
                                        std::optional<generation> base,
                                        const submitter& by);
 
-/// An object, and the state that it is to be in.
+/// Objects of one kind, and the state that they are to be in.
 struct state_change
 {
     drain_kind kind = drain_kind::target;
-    std::string name;
+    std::vector<std::string> names;
     administrative_state state = administrative_state::draining;
 };
 
-/// Publishes the configuration in force with the state of one object changed. Fails as
+/// Publishes the configuration in force with the state of some objects changed. Fails as
 /// publish() does, and with unknown_object or nothing_in_force.
 boost::leaf::result<publication>
 change_state(key_value_store& store, const state_change& change, const submitter& by);
@@ -68,7 +69,7 @@
 /// Reads and checks \p text. Fails with configuration_faults.
 boost::leaf::result<submitted_document> read_document(std::string_view text);
 
-/// Returns \p document with the state of one object changed. Fails with unknown_object.
+/// Returns \p document with the state of some objects changed. Fails with unknown_object.
 boost::leaf::result<boost::json::value> with_state(const boost::json::value& document,
                                                    const state_change& change);
 
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -59,19 +59,21 @@
         .word = "drain",
         .is_command = true,
         .arguments = takes(argument::object, argument::wait, argument::author),
-        .synopsis = "drain KIND NAME [--wait] [--timeout SECONDS]",
-        .summary = "withdraw a target, an instance or a data centre",
+        .synopsis = "drain KIND NAME... [--wait] [--timeout SECONDS]",
+        .summary = "withdraw targets, instances or data centres",
         .help =
-            R"(Publishes a new generation in which the object takes no new flows; open flows go on to
+            R"(Publishes one new generation in which the objects take no new flows; open flows go on to
 their end. KIND is target, instance or data-centre. `kumquatpath status` shows what the
-drain still waits for. It is refused when a service would be left without a target.
+drain still waits for. It is refused when a service would be left without a target, or when
+the targets of one service change for the ninth time within its flow lifetime: name several
+objects at once to change them together.
 
   --wait             wait until every instance that can be reached has it in force
   --timeout SECONDS  how long --wait lasts (60)
   --author NAME      who submits it ($USER)
 
 Examples:
-  kumquatpath drain target catalogue-3
+  kumquatpath drain target catalogue-3 catalogue-4
   kumquatpath drain data-centre nairobi-b --wait
 )"},
     verb_entry{
@@ -79,10 +81,10 @@
         .word = "undrain",
         .is_command = true,
         .arguments = takes(argument::object, argument::wait, argument::author),
-        .synopsis = "undrain KIND NAME [--wait] [--timeout SECONDS]",
-        .summary = "let a drained object take new flows again",
+        .synopsis = "undrain KIND NAME... [--wait] [--timeout SECONDS]",
+        .summary = "let drained objects take new flows again",
         .help =
-            R"(Publishes a new generation in which the object takes new flows. KIND is target,
+            R"(Publishes one new generation in which the objects take new flows. KIND is target,
 instance or data-centre.
 
   --wait             wait until every instance that can be reached has it in force
--- a/test/client/publication_test.cpp
+++ b/test/client/publication_test.cpp
@@ -79,7 +79,8 @@
     {
         return told(
             [&] {
-                return change_state(store, {drain_kind::target, target, state}, by("bo"));
+                return change_state(store, {drain_kind::target, {target}, state},
+                                    by("bo"));
             });
     }
 
@@ -163,7 +164,7 @@
 
     STRCMP_EQUAL(
         "published 2",
-        told([&] { return change_state(store, {.name = "t1"}, patient); }).c_str());
+        told([&] { return change_state(store, {.names = {"t1"}}, patient); }).c_str());
     STRCMP_EQUAL("12", waits.c_str());
 }
 
@@ -321,6 +322,25 @@
     STRCMP_EQUAL("published 3", apply_document(file, generation{2}).c_str());
 }
 
+TEST(publication, several_objects_are_drained_in_one_generation_or_none)
+{
+    const auto drain_all = [&](std::vector<std::string> names)
+    {
+        return told(
+            [&] { return change_state(store, {.names = std::move(names)}, by("bo")); });
+    };
+    STRCMP_EQUAL("faults", drain_all({"t1", "t2"}).c_str());
+    auto file = small_document();
+    const boost::json::value target = at(file, "pools", "p", "targets", "t1");
+    at(file, "pools", "p", "targets", "t3") = target;
+    at(file, "pools", "p", "targets", "t3", "address") = "127.0.0.1:9003";
+    STRCMP_EQUAL("published 2", apply_document(file, generation{1}).c_str());
+
+    STRCMP_EQUAL("unknown object, but t1", drain_all({"t2", "t9"}).c_str());
+    STRCMP_EQUAL("published 3", drain_all({"t1", "t2"}).c_str());
+    STRCMP_EQUAL("unchanged 3", drain("t2").c_str());
+}
+
 TEST(publication, a_drain_of_nothing_is_refused_with_the_nearest_name)
 {
     auto file = small_document();
--- a/test/client/queries_test.cpp
+++ b/test/client/queries_test.cpp
@@ -30,8 +30,8 @@
     {
         CHECK_TRUE(
             apply(store, boost::json::serialize(small_document()), {}, by()).has_value());
-        CHECK_TRUE(change_state(store, {drain_kind::target, "t1"}, by()).has_value());
-        CHECK_TRUE(change_state(store, {drain_kind::instance, "i1"}, by()).has_value());
+        CHECK_TRUE(change_state(store, {drain_kind::target, {"t1"}}, by()).has_value());
+        CHECK_TRUE(change_state(store, {drain_kind::instance, {"i1"}}, by()).has_value());
     }
 
     std::string shown(std::optional<generation> wanted)
