--- a/bench/retry_bench.cpp
+++ b/bench/retry_bench.cpp
@@ -7,9 +7,7 @@
 #include "retry_run.hpp"
 
 #include <kumquatpath/decision/invariant.hpp>
-
-#include <flatbuffers/flatbuffers.h>
-#include <peer_generated.h>
+#include <kumquatpath/edge/peer_codec.hpp>
 
 #include <iostream>
 #include <iterator>
@@ -29,10 +27,15 @@
 constexpr double requests_per_instance = 95;
 constexpr double submission_share = 0.1;
 
+constexpr double many_claims = 100;
+constexpr double few_claims = 1;
+
 struct named_variant
 {
     std::string_view name;
     submission_variant variant;
+    /// See submission_options; with few, most submissions are decided in advance.
+    double claims_per_second = many_claims;
 };
 
 constexpr named_variant submission_variants[] = {
@@ -42,7 +45,9 @@
     {"claims-no-abstention", submission_variant::claims_no_abstention},
     {"claims-no-joint", submission_variant::claims_no_joint},
     {"claims-no-view-lease", submission_variant::claims_no_view_lease},
+    {"claims-no-kept-votes", submission_variant::claims_no_kept_votes, few_claims},
     {"claims", submission_variant::claims},
+    {"claims-in-advance", submission_variant::claims, few_claims},
 };
 
 /// Adds the figures of one variant; only those of the design in use have bounds.
@@ -79,14 +84,15 @@
 
 /// The faults of a very bad quarter of an hour: one every 20 s, besides coordinators that
 /// are killed or paused just after a claim.
-world_options storm(submission_variant variant, std::uint64_t seed)
+world_options storm(const named_variant& which, std::uint64_t seed)
 {
-    return {.variant = variant,
+    return {.variant = which.variant,
             .seed = seed,
             .length = 900s,
             .kills_per_claim = 0.0005,
             .pauses_per_claim = 0.0005,
-            .fault_interval = 20s};
+            .fault_interval = 20s,
+            .claims_per_second = which.claims_per_second};
 }
 
 void add_truths(figures& out, const ledger& outcome)
@@ -105,41 +111,37 @@
 {
     figures sheet(out, which.name, which.variant == submission_variant::claims);
     const double before = violation_count();
-    add_truths(sheet, run_world(storm(which.variant, seed)));
+    add_truths(sheet, run_world(storm(which, seed)));
     sheet.add("broken invariants", violation_count() - before, "count", none_at_all);
 }
 
-std::size_t encoded_size(flatbuffers::FlatBufferBuilder& builder, wire::PeerBody type,
-                         flatbuffers::Offset<void> body)
+/// Returns the bytes that \p message takes on the wire.
+std::size_t wire_size(const peer_message& message)
 {
     constexpr std::size_t udp_and_ip = 28;
-    constexpr std::size_t authentication = 32;
-    builder.Finish(wire::CreatePeerMessage(builder, 1, 1, 1, type, body), "KQM1");
-    return builder.GetSize() + udp_and_ip + authentication;
-}
-
-std::size_t claim_size()
-{
     flatbuffers::FlatBufferBuilder builder;
-    const wire::SubmissionKey key(1, 1, 1);
-    const auto body = wire::CreateClaim(builder, &key, 1, 1, 1, 1);
-    return encoded_size(builder, wire::PeerBody::Claim, body.Union());
+    std::vector<std::byte> encoded;
+    encode_peer(builder, {.sender = {1}, .sequence = 1, .body = message}, {}, encoded);
+    return encoded.size() + udp_and_ip;
 }
 
-std::size_t claim_reply_size()
+/// Returns the wire size of \p message about a submission, all fields set.
+template <class Message>
+std::size_t size_about_submission()
 {
-    flatbuffers::FlatBufferBuilder builder;
-    const wire::SubmissionKey key(1, 1, 1);
-    const auto body = wire::CreateClaimReply(builder, &key, true, 1, 1, 1);
-    return encoded_size(builder, wire::PeerBody::ClaimReply, body.Union());
+    return wire_size(Message{.key = {.service = {1}, .flow = {1}, .request = {1}},
+                             .coordinator = {1},
+                             .decision = claim_decision::refuse,
+                             .roster = {1}});
 }
 
 /// Returns the bytes of claims and replies that one instance sends a second.
 double control_rate(const world_options& options, const ledger& outcome)
 {
     const std::chrono::duration<double> length = options.length;
-    const auto bytes = static_cast<double>(outcome.claims * claim_size() +
-                                           outcome.claim_replies * claim_reply_size());
+    const auto bytes =
+        static_cast<double>(outcome.claims * size_about_submission<claim>() +
+                            outcome.claim_replies * size_about_submission<claim_reply>());
     return bytes / length.count() / static_cast<double>(options.instances);
 }
 
@@ -148,7 +150,7 @@
 void run_steady(report& out, std::string_view name, double times, std::uint64_t seed)
 {
     world_options steady{
-        .seed = seed, .length = 120s, .loss = 0.001, .claimed_refusals_per_second = 5};
+        .seed = seed, .length = 120s, .loss = 0.001, .claims_per_second = 14};
     steady.submissions_per_second = times * requests_per_instance * submission_share *
                                     static_cast<double>(steady.instances);
     steady.early_refusals = 1 - 1 / times;
--- a/bench/retry_instance.hpp
+++ b/bench/retry_instance.hpp
@@ -157,6 +157,10 @@
     {
         receive_claim(which.submissions.records, which.roster, from, wanted,
                       all.queue.now(), actions);
+        if (all.options.variant == submission_variant::claims_no_kept_votes)
+        {
+            which.submissions.records.granted.clear();
+        }
     }
     else
     {
@@ -261,11 +265,9 @@
         { learn_roster_from_peer(all.nodes[to].roster, notice, all.queue.now()); });
 }
 
-inline void hear_heartbeat(world& all, std::size_t i, instance_id from,
-                           roster_version version)
+inline void hear_sign_of_life(world& all, std::size_t i, instance_id from)
 {
-    node& which = all.nodes[i];
-    auto& known = which.members.members;
+    auto& known = all.nodes[i].members.members;
     auto sender = std::ranges::lower_bound(known, from, {}, &member::instance);
     if (sender == known.end() || sender->instance != from)
     {
@@ -277,6 +279,13 @@
     }
     sender->state = member_state::alive;
     sender->last_heard = all.queue.now();
+}
+
+inline void hear_heartbeat(world& all, std::size_t i, instance_id from,
+                           roster_version version)
+{
+    node& which = all.nodes[i];
+    hear_sign_of_life(all, i, from);
     hear_roster_version(which.roster, from, version, all.queue.now());
     hear_of_roster(which.leader, version);
     tell_of_roster(all, i, from, version);
