Refuse to drain an instance that the platform does not list

Cause: a document may name any instance as draining, so a misspelt name was published and drained nothing, without a word.

Ruled out: the check of the document, which needs no platform and knows no instances.

Change: `drain instance` looks the names up in the platform's list and suggests the nearest one. `undrain` takes any name, as the instance may be gone.

--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -8,6 +8,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 
+#include <algorithm>
+
 namespace kumquatpath
 {
 namespace
@@ -90,6 +92,31 @@
     return "data centre";
 }
 
+/// Refuses instances that the platform does not list: a document takes any name there, so
+/// a misspelt one would drain nothing.
+leaf::result<void> require_listed(key_value_store& store,
+                                  const std::vector<std::string>& names)
+{
+    BOOST_LEAF_AUTO(instances, store.instances());
+    std::vector<std::string_view> listed;
+    listed.reserve(instances.size());
+    for (const platform_instance& each : instances)
+    {
+        listed.emplace_back(each.name);
+    }
+    for (const std::string& name : names)
+    {
+        if (std::ranges::find(listed, name) == listed.end())
+        {
+            return leaf::new_error(
+                unknown_object{.kind = kind_name(drain_kind::instance),
+                               .name = name,
+                               .suggestion = std::string(nearest(name, listed))});
+        }
+    }
+    return {};
+}
+
 /// Returns the document that an edit in a file started from.
 leaf::result<json::value>
 base_document(key_value_store& store, const std::optional<current_configuration>& current,
@@ -182,6 +209,11 @@
 leaf::result<publication> change_state(key_value_store& store, const state_change& change,
                                        const submitter& by)
 {
+    if (change.kind == drain_kind::instance &&
+        change.state == administrative_state::draining)
+    {
+        BOOST_LEAF_CHECK(require_listed(store, change.names));
+    }
     BOOST_LEAF_AUTO(current, require_current(store));
     BOOST_LEAF_AUTO(edited, with_state(current.envelope.document, change));
     return publish(store,
--- a/test/client/publication_test.cpp
+++ b/test/client/publication_test.cpp
@@ -341,6 +341,26 @@
     STRCMP_EQUAL("unchanged 3", drain("t2").c_str());
 }
 
+TEST(publication, an_instance_that_is_not_listed_is_not_drained_but_can_be_undrained)
+{
+    store.listed = {{.name = "entry-1"}};
+    const auto set = [&](const char* name, administrative_state state)
+    {
+        return told(
+            [&] {
+                return change_state(store, {drain_kind::instance, {name}, state},
+                                    by("bo"));
+            });
+    };
+    STRCMP_EQUAL("unknown object, but entry-1",
+                 set("entry-11", administrative_state::draining).c_str());
+    STRCMP_EQUAL("published 2", set("entry-1", administrative_state::draining).c_str());
+
+    store.listed.clear();
+    STRCMP_EQUAL("published 3", set("entry-1", administrative_state::active).c_str());
+    STRCMP_EQUAL("unchanged 3", set("entry-1", administrative_state::active).c_str());
+}
+
 TEST(publication, a_drain_of_nothing_is_refused_with_the_nearest_name)
 {
     auto file = small_document();
--- a/test/client/queries_test.cpp
+++ b/test/client/queries_test.cpp
@@ -28,6 +28,7 @@
 
     void setup() override
     {
+        store.listed = {{.name = "i1"}};
         CHECK_TRUE(
             apply(store, boost::json::serialize(small_document()), {}, by()).has_value());
         CHECK_TRUE(change_state(store, {drain_kind::target, {"t1"}}, by()).has_value());
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -38,6 +38,7 @@
     /// Runs once, after the next write of the configuration's key.
     std::function<void()> after_write;
     std::map<std::string, stored_value, std::less<>> values;
+    std::vector<platform_instance> listed;
 
     boost::leaf::result<stored_value> read(std::string_view key) override
     {
@@ -85,7 +86,7 @@
 
     boost::leaf::result<std::vector<platform_instance>> instances() override
     {
-        return std::vector<platform_instance>();
+        return listed;
     }
 
     boost::leaf::result<lease_id> grant_lease(std::chrono::milliseconds) override
