--- a/test/client/publication_test.cpp
+++ b/test/client/publication_test.cpp
@@ -79,7 +79,8 @@
     {
         return told(
             [&] {
-                return change_state(store, {drain_kind::target, target, state}, by("bo"));
+                return change_state(store, {drain_kind::target, {target}, state},
+                                    by("bo"));
             });
     }
 
@@ -151,6 +152,22 @@
     LONGS_EQUAL(2, priority_in(2));
 }
 
+TEST(publication, each_attempt_after_the_first_is_waited_for)
+{
+    store.faults = {write_fault::lost_without_effect, write_fault::lost_without_effect};
+    std::string waits;
+    submitter patient = by("bo");
+    patient.pause = [&](std::size_t attempt)
+    {
+        waits += std::to_string(attempt);
+    };
+
+    STRCMP_EQUAL(
+        "published 2",
+        told([&] { return change_state(store, {.names = {"t1"}}, patient); }).c_str());
+    STRCMP_EQUAL("12", waits.c_str());
+}
+
 TEST(publication, a_delayed_write_takes_effect_once)
 {
     store.faults = {write_fault::delayed};
@@ -305,6 +322,45 @@
     STRCMP_EQUAL("published 3", apply_document(file, generation{2}).c_str());
 }
 
+TEST(publication, several_objects_are_drained_in_one_generation_or_none)
+{
+    const auto drain_all = [&](std::vector<std::string> names)
+    {
+        return told(
+            [&] { return change_state(store, {.names = std::move(names)}, by("bo")); });
+    };
+    STRCMP_EQUAL("faults", drain_all({"t1", "t2"}).c_str());
+    auto file = small_document();
+    const boost::json::value target = at(file, "pools", "p", "targets", "t1");
+    at(file, "pools", "p", "targets", "t3") = target;
+    at(file, "pools", "p", "targets", "t3", "address") = "127.0.0.1:9003";
+    STRCMP_EQUAL("published 2", apply_document(file, generation{1}).c_str());
+
+    STRCMP_EQUAL("unknown object, but t1", drain_all({"t2", "t9"}).c_str());
+    STRCMP_EQUAL("published 3", drain_all({"t1", "t2"}).c_str());
+    STRCMP_EQUAL("unchanged 3", drain("t2").c_str());
+}
+
+TEST(publication, an_instance_that_is_not_listed_is_not_drained_but_can_be_undrained)
+{
+    store.listed = {{.name = "entry-1"}};
+    const auto set = [&](const char* name, administrative_state state)
+    {
+        return told(
+            [&] {
+                return change_state(store, {drain_kind::instance, {name}, state},
+                                    by("bo"));
+            });
+    };
+    STRCMP_EQUAL("unknown object, but entry-1",
+                 set("entry-11", administrative_state::draining).c_str());
+    STRCMP_EQUAL("published 2", set("entry-1", administrative_state::draining).c_str());
+
+    store.listed.clear();
+    STRCMP_EQUAL("published 3", set("entry-1", administrative_state::active).c_str());
+    STRCMP_EQUAL("unchanged 3", set("entry-1", administrative_state::active).c_str());
+}
+
 TEST(publication, a_drain_of_nothing_is_refused_with_the_nearest_name)
 {
     auto file = small_document();
