Tell a suspect by its watchers only, and tell old changes before new ones

Cause: the capacity bench found two faults of membership at 570 instances. Every member told a suspect of its suspicion, so one living instance received 171 kB in a second after 24 others died, and 325 kB when a region healed. After a data centre of 82 died, 63 of the dead were still believed alive by somebody 60 s later, about 2,900 pairs of living members disbelieved each other, and the queues of changes still grew.

With the freshest first, news of living members that are suspected by mistake keeps the older deaths from ever being told.

Change: only a suspect's watchers tell it. The oldest change goes first. The bench's world now starts as a fleet that has long known each other; before, every member was news to all, so its steady bytes were in truth the ceiling.

The new test of the suspect fails on the code before (199 of 200 members tell it) and passes now.

Conclusion: both are mended; the time until all views agree is still long after many deaths.

--- a/bench/capacity/member_world.cpp
+++ b/bench/capacity/member_world.cpp
@@ -45,6 +45,10 @@
     {
         members_.push_back(make_membership(each, {}));
         merge_members(members_.back(), everyone, now_);
+        for (known_member& known : members_.back().others)
+        {
+            known.transmissions_left *= options.have_just_met ? 1U : 0U;
+        }
     }
 }
 
--- a/bench/capacity/member_world.hpp
+++ b/bench/capacity/member_world.hpp
@@ -22,6 +22,8 @@
     std::size_t data_centres = 7;
     std::size_t usages = most_usages;
     std::uint64_t seed = 1;
+    /// Whether the members have only just met, so that each is news to be told on.
+    bool have_just_met = false;
 
     static constexpr std::size_t most_usages = 12;
 };
--- a/bench/capacity/members.cpp
+++ b/bench/capacity/members.cpp
@@ -25,15 +25,15 @@
     double core = 0;
 };
 
-member_cost steady_cost(std::size_t count, std::uint64_t seed)
+member_cost cost_of(const world_options& options)
 {
-    member_world world({.members = count, .seed = seed});
+    member_world world(options);
     world.run(warm_up);
     world.reset_traffic();
     const double nanoseconds =
         nanoseconds_per_call(1, 1, [&] { world.run(measured_span); });
     const double seconds = std::chrono::duration<double>(measured_span).count();
-    const double member_seconds = seconds * static_cast<double>(count);
+    const double member_seconds = seconds * static_cast<double>(options.members);
     member_cost cost;
     for (const member_traffic& each : world.traffic())
     {
@@ -57,7 +57,7 @@
     for (const std::size_t count : member_counts)
     {
         const auto size = static_cast<double>(count);
-        const member_cost cost = steady_cost(count, book.seed());
+        const member_cost cost = cost_of({.members = count, .seed = book.seed()});
         sent.push_back({size, cost.sent});
         received.push_back({size, cost.received});
         messages.push_back({size, cost.messages});
@@ -68,6 +68,11 @@
     book.add_line({"members/received", "member", "bytes/s"}, received);
     book.add_line({"members/messages", "member", "messages/s"}, messages);
     book.add_line({"members/core", "member", "core"}, core);
+    const auto fleet = static_cast<std::size_t>(instances);
+    const member_cost most =
+        cost_of({.members = fleet, .seed = book.seed(), .have_just_met = true});
+    book.tell("members/all_news", "bytes sent while every heartbeat is full of changes",
+              most.sent, "bytes/s");
     book.add_line({"members/memory", "member", "bytes"}, memory);
 }
 
--- a/src/decision/membership.cpp
+++ b/src/decision/membership.cpp
@@ -12,10 +12,12 @@
 
 /// A dead member is probed this often, so that a healed partition is noticed.
 constexpr duration probe_interval = std::chrono::seconds(1);
-/// A change is sent this many times for each doubling of the fleet.
-constexpr std::uint32_t transmissions_per_doubling = 3;
+/// A change is sent with one more heartbeat for each time that the fleet doubles this
+/// often. A heartbeat goes to several members, so few are enough; more of them would let
+/// many changes at once queue behind each other.
+constexpr std::uint32_t doublings_per_transmission = 3;
 /// A change is sent at least this many times, also by one who knows few members yet.
-constexpr std::uint32_t fewest_transmissions = 12;
+constexpr std::uint32_t fewest_transmissions = 3;
 
 auto position_of(membership& state, instance_id instance)
 {
@@ -36,7 +38,7 @@
 {
     const auto doublings = std::bit_width(state.others.size() + 1);
     return std::max(fewest_transmissions,
-                    transmissions_per_doubling * static_cast<std::uint32_t>(doublings));
+                    static_cast<std::uint32_t>(doublings) / doublings_per_transmission);
 }
 
 void change(membership& state, known_member& each, const member_digest& digest,
@@ -351,10 +353,13 @@
     const std::vector<instance_id> successors = neighbours(state, 1);
     receivers.insert(receivers.end(), successors.begin(), successors.end());
     append_random(state, receivers, is_present);
-    // A suspected member must hear of it, or it could not refute it.
+    // A suspected member must hear of it, or it could not refute it. Only its watchers
+    // tell it: if all members did, one suspect would hear the whole fleet at once.
     append_random(state, receivers,
-                  [](const known_member& each)
-                  { return each.digest.state == member_state::suspect; });
+                  [](const known_member& each) {
+                      return each.digest.state == member_state::suspect &&
+                             each.is_watched;
+                  });
     append_probe(state, receivers, now);
     return true;
 }
@@ -371,9 +376,9 @@
             changed.push_back(&each);
         }
     }
-    // The freshest changes go first: they have the most transmissions left.
-    std::ranges::stable_sort(changed, std::ranges::greater{},
-                             &known_member::transmissions_left);
+    // The oldest changes go first. Were it the freshest, a steady stream of news would
+    // keep the rest from ever being told, and views that differ make more news.
+    std::ranges::stable_sort(changed, {}, &known_member::changed);
     changed.resize(std::min(changed.size(), state.options.changes_per_heartbeat));
     for (known_member* each : changed)
     {
--- a/test/decision/membership_test.cpp
+++ b/test/decision/membership_test.cpp
@@ -5,6 +5,7 @@
 
 #include <bench/event_queue.hpp>
 
+#include <algorithm>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -162,3 +163,45 @@
     LONGS_EQUAL(60, sixty.alive_in_view_of(30));
     CHECK_COMPARE(take_digests(sixty.members[0]).size(), <=, 9U);
 }
+
+TEST(membership, a_suspect_is_told_of_it_by_few_however_large_the_fleet)
+{
+    constexpr std::uint32_t size = 200;
+    const instance_id suspected{7};
+    std::size_t tellers = 0;
+    for (std::uint32_t number = 1; number <= size; ++number)
+    {
+        membership state = make_membership(digest_of(number, 1), {});
+        std::vector<member_digest> all;
+        for (std::uint32_t i = 1; i <= size; ++i)
+        {
+            all.push_back(digest_of(i, 1));
+            all.back().state = all.back().instance == suspected ? member_state::suspect
+                                                                : member_state::alive;
+        }
+        merge_members(state, all, time_point{1s});
+        std::vector<instance_id> receivers;
+        advance_membership(state, time_point{1s}, receivers);
+        tellers += std::ranges::count(receivers, suspected) > 0 ? 1U : 0U;
+    }
+
+    // Three successors and three watchers tell it, and a few by chance.
+    CHECK_COMPARE(tellers, <=, 20U);
+    CHECK_COMPARE(tellers, >=, 3U);
+}
+
+TEST(membership,
+     many_deaths_at_once_reach_every_view_and_no_living_member_stays_suspected)
+{
+    fleet sixty(60);
+    sixty.run(30s);
+    for (std::uint32_t number = 1; number <= 60; number += 3)
+    {
+        sixty.silent.insert(number);
+    }
+    sixty.run(40s);
+    for (std::uint32_t number = 2; number <= 60; number += 3)
+    {
+        LONGS_EQUAL(40, sixty.alive_in_view_of(number));
+    }
+}
