--- a/src/client/failure.cpp
+++ b/src/client/failure.cpp
@@ -100,6 +100,24 @@
                         {"free_at_ms", failure.free_at.time_since_epoch().count()}}};
 }
 
+failure_report report_of(const flows_at_risk& failure)
+{
+    failure_report report{.kind = "flows_at_risk"};
+    report.message =
+        "Open flows may rest on targets that this change removes or moves:\n";
+    json::array targets;
+    for (const std::string& each : failure.targets)
+    {
+        report.message += "  " + each + '\n';
+        targets.emplace_back(each);
+    }
+    report.message += "Nothing was published. Drain them first, and remove them when the "
+                      "flow lifetime is over;\nor add --cut-flows when `kumquatpath "
+                      "status` shows that their drain waits for nothing.";
+    report.details["targets"] = std::move(targets);
+    return report;
+}
+
 failure_report report_of(const base_required& failure)
 {
     const std::string generation = std::to_string(failure.in_force.value);
@@ -181,9 +199,8 @@
 {
     return {.code = exit_code::platform_away,
             .kind = std::move(kind),
-            .message = reason +
-                       " Nothing was changed: the edit is not accepted, and what "
-                       "is in force stays in force."};
+            .message = reason + " Nothing was changed: no edit is accepted while the "
+                                "platform is away, and what is in force stays in force."};
 }
 
 failure_report report_of(const store_unreachable&)
@@ -222,6 +239,7 @@
         [&](const configuration_faults& failure) { return told(failure); },
         [&](const edit_conflict& failure) { return told(failure); },
         [&](const too_many_epochs& failure) { return told(failure); },
+        [&](const flows_at_risk& failure) { return told(failure); },
         [&](const base_required& failure) { return told(failure); },
         [&](const unknown_object& failure) { return told(failure); },
         [&](const unknown_generation& failure) { return told(failure); },
--- a/src/client/fleet.hpp
+++ b/src/client/fleet.hpp
@@ -53,10 +53,13 @@
 /// What one instance says of itself.
 struct instance_report
 {
+    /// The latest generation that it has accepted.
     kumquatpath::generation generation;
-    /// Whether its packets already follow that generation.
-    bool has_switched = true;
+    /// The generation that its packets follow.
+    kumquatpath::generation switched;
     bool is_leaving = false;
+    /// Whether it may claim submissions that may not be repeated; it refuses them if not.
+    bool may_claim = true;
     std::vector<seen_member> members;
     std::vector<seen_drain> drains;
 };
@@ -88,8 +91,11 @@
 /// Returns whether every instance that was reached, and at least one, has it in force.
 bool is_complete(const generation_progress& progress);
 
+/// Returns the latest generation that any instance has accepted.
+generation latest_of(const std::vector<instance_status>& statuses);
+
 /// Prints a table of the instances, their members and drains, or JSON. \p in_force is the
-/// generation that the platform holds.
+/// latest generation that is known.
 void print_status(std::ostream& out, const std::vector<instance_status>& statuses,
                   generation in_force, bool as_json);
 
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -21,8 +21,8 @@
         .verb = verb::apply,
         .word = "apply",
         .is_command = true,
-        .arguments =
-            takes(argument::file, argument::base, argument::wait, argument::author),
+        .arguments = takes(argument::file, argument::base, argument::wait,
+                           argument::author, argument::cut_flows),
         .synopsis = "apply FILE [--base GENERATION] [--wait] [--timeout SECONDS]",
         .summary = "submit a whole configuration",
         .help =
@@ -35,10 +35,15 @@
 they are to other objects; otherwise the command ends with 4 and names the objects.
 The first configuration of all needs no base.
 
+A target that open flows may rest on can't be removed or moved: drain it first, and remove
+it when the longest flow lifetime is over, or with --cut-flows as soon as
+`kumquatpath status` shows that its drain waits for nothing.
+
 If the platform's answer is lost, the client reads back whether its submission took
 effect, and says so.
 
   --base GENERATION  the generation that FILE was edited from
+  --cut-flows        allow it to remove or move targets that open flows may rest on
   --wait             wait until every instance that can be reached has it in force
   --timeout SECONDS  how long --wait lasts (60)
   --author NAME      who submits it ($USER)
@@ -91,13 +96,15 @@
         .verb = verb::rollback,
         .word = "rollback",
         .is_command = true,
-        .arguments = takes(argument::past_generation, argument::wait, argument::author),
+        .arguments = takes(argument::past_generation, argument::wait, argument::author,
+                           argument::cut_flows),
         .synopsis = "rollback GENERATION [--wait] [--timeout SECONDS]",
         .summary = "submit an earlier configuration again",
         .help =
             R"(Publishes the content of an earlier generation as a new one; the generation never goes
 back. `kumquatpath history` lists the generations that can be had.
 
+  --cut-flows        allow it to remove or move targets that open flows may rest on
   --wait             wait until every instance that can be reached has it in force
   --timeout SECONDS  how long --wait lasts (60)
   --author NAME      who submits it ($USER)
@@ -167,26 +174,41 @@
     verb_entry{
         .verb = verb::status,
         .word = "status",
-        .synopsis = "status",
+        .arguments = takes(argument::instances),
+        .synopsis = "status [--instance ip:port]...",
         .summary = "show what is in force where, members and drains",
         .help =
             R"(Asks every instance on the platform's list for the generation that it has in force,
 the members that it sees, and the drains in progress with what each still waits for.
-Ends with 1 if an instance is behind or can't be reached.
+Ends with 1 if an instance is behind or can't be reached. The states are:
+  ok           its packets follow the latest generation
+  switching    it has that generation, and its packets will follow it in a moment
+  BEHIND       it has an earlier generation
+  no claims    it refuses submissions that may not be repeated, as it holds no claim
+  leaving      it is shutting down and finishes what it has
+  NOT REACHED  it did not answer within a second
+
+  --instance ip:port  ask this instance at its operators' address, and not the platform;
+                      may be given several times, also while the platform is away
 
 Examples:
   kumquatpath status
   kumquatpath status --json
+  kumquatpath status --instance 127.0.0.1:9600 --instance 127.0.0.2:9600
 )"},
     verb_entry{
         .verb = verb::metrics,
         .word = "metrics",
-        .synopsis = "metrics",
+        .arguments = takes(argument::instances),
+        .synopsis = "metrics [--instance ip:port]...",
         .summary = "show answer times by service and class, and counters",
         .help =
             R"(Adds up the histograms and counters of every instance that can be reached and shows
 them as bars and quantiles, by service and class.
 
+  --instance ip:port  ask this instance at its operators' address, and not the platform;
+                      may be given several times, also while the platform is away
+
 Examples:
   kumquatpath metrics
   kumquatpath metrics --json
