--- a/bench/survival_bench.cpp
+++ b/bench/survival_bench.cpp
@@ -4,7 +4,7 @@
 ///
 /// Virtual time. A flow lives up to 50 s where it would live up to an hour, and epochs
 /// live 60 s; rates are those of 400 flows a second over the fleet, except in the
-/// scenario full_rate.
+/// scenarios named full_rate, which run at 3,000 a second on each of 8 instances.
 
 #include "report.hpp"
 #include "survival_world.hpp"
@@ -72,6 +72,12 @@
     at(where, seconds(8), [&where] { where.drain_data_centre({2}); });
 }
 
+void die_while_busy(world& where)
+{
+    withdraw_early(where);
+    at(where, seconds(18), [&where] { where.die(2); });
+}
+
 void drain_data_centre(world& where)
 {
     at(where, seconds(20),
@@ -177,6 +183,10 @@
      .changes = withdraw_early,
      .length = seconds(30),
      .options = {.flows_per_second = 24000}},
+    {.name = "full_rate_death",
+     .changes = die_while_busy,
+     .length = seconds(30),
+     .options = {.flows_per_second = 24000}},
     {.name = "instance_dies", .changes = instance_dies},
     {.name = "instance_freezes", .changes = instance_freezes},
     {.name = "data_centre_cut", .changes = data_centre_cut, .is_bounded = false},
--- a/include/kumquatpath/decision/flow_router.hpp
+++ b/include/kumquatpath/decision/flow_router.hpp
@@ -68,9 +68,9 @@
     /// as long, while the other instances tell it what they remember.
     duration view_convergence = std::chrono::milliseconds(1500);
     /// How long an opener remembers flows for the keeper that it passed them to.
-    duration opener_memory = std::chrono::seconds(5);
+    duration opener_memory = std::chrono::seconds(8);
     /// The most flows that an opener remembers.
-    std::size_t most_remembered_opens = 4096;
+    std::size_t most_remembered_opens = 16384;
     /// The time without a packet after which a flow is forgotten.
     duration idle_timeout = std::chrono::minutes(30);
     /// Hints sent to other instances, at most, each second.
--- a/src/decision/flow_hand_over.cpp
+++ b/src/decision/flow_hand_over.cpp
@@ -16,7 +16,7 @@
 /// A listing of this many entries fits in one datagram.
 constexpr std::size_t most_entries = 100;
 /// The most flows that are told to new keepers at one change of view.
-constexpr std::size_t most_told = 1024;
+constexpr std::size_t most_told = 2048;
 /// Longer than a large hand-over takes, since asking again takes from the same budget.
 constexpr std::chrono::seconds ask_again_after{30};
 /// A former keeper that has not told everything by then will not.
