--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -1,5 +1,7 @@
 #include "packet_duty.hpp"
 
+#include "drain_view.hpp"
+
 #include <kumquatpath/decision/platform_reader.hpp>
 #include <kumquatpath/edge/clock.hpp>
 #include <kumquatpath/edge/log.hpp>
@@ -20,6 +22,8 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(20);
 constexpr duration snapshot_interval = std::chrono::milliseconds(250);
+/// Counting the flows of drains looks at the whole table, so it is done seldom.
+constexpr duration drains_interval = std::chrono::seconds(5);
 constexpr duration fetch_interval = std::chrono::milliseconds(300);
 /// Batches that one port receives before the others get their turn.
 constexpr int batches_a_turn = 8;
@@ -423,6 +427,7 @@
     {
         last_snapshot_ = now;
         tell_platform_duty();
+        refresh_drains(now);
         publish_snapshot();
     }
     if (has_left(state_, now))
@@ -471,6 +476,16 @@
         .newer_than = state_.in_force ? state_.in_force->generation : generation{}});
 }
 
+void packet_duty::refresh_drains(time_point now)
+{
+    if (!state_.in_force || now - last_drains_ < drains_interval)
+    {
+        return;
+    }
+    last_drains_ = now;
+    drains_ = drains_of(*state_.in_force, state_.router, wall_now());
+}
+
 void packet_duty::publish_snapshot()
 {
     outputs_.operators(make_snapshot());
@@ -501,6 +516,7 @@
         snapshot->members.push_back(
             {.instance = "#" + std::to_string(each.instance.value), .state = each.state});
     }
+    snapshot->drains = drains_;
     copy_metrics(metrics_, state_.in_force.get(), *snapshot);
     return snapshot;
 }
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -88,6 +88,7 @@
     void order_store_commands();
     void fetch_newer_configuration(time_point now);
     void publish_snapshot();
+    void refresh_drains(time_point now);
     shared_snapshot make_snapshot() const;
 
     daemon_settings settings_;
@@ -108,6 +109,8 @@
     udp_port peer_port_;
     std::shared_ptr<const std::string> envelope_text_;
     time_point last_snapshot_{};
+    time_point last_drains_{};
+    std::vector<drain_status> drains_;
     time_point last_fetch_{};
     std::uint64_t published_version_ = 0;
 };
--- a/src/edge/easylogging.cpp
+++ b/src/edge/easylogging.cpp
@@ -7,6 +7,8 @@
 #pragma GCC diagnostic ignored "-Wconversion"
 #pragma GCC diagnostic ignored "-Wpedantic"
 
+// The library is shipped as a source file that its user compiles.
+// NOLINTNEXTLINE(bugprone-suspicious-include)
 #include <easylogging++.cc>
 
 INITIALIZE_EASYLOGGINGPP
