--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -1,8 +1,5 @@
 #include "packet_duty.hpp"
 
-#include "drain_view.hpp"
-
-#include <kumquatpath/decision/platform_reader.hpp>
 #include <kumquatpath/edge/clock.hpp>
 #include <kumquatpath/edge/log.hpp>
 #include <kumquatpath/edge/packet_codec.hpp>
@@ -22,9 +19,6 @@
 
 constexpr auto tick_interval = std::chrono::milliseconds(20);
 constexpr duration snapshot_interval = std::chrono::milliseconds(250);
-/// Counting the flows of drains looks at the whole table, so it is done seldom.
-constexpr duration drains_interval = std::chrono::seconds(5);
-constexpr duration fetch_interval = std::chrono::milliseconds(300);
 /// Batches that one port receives before the others get their turn.
 constexpr int batches_a_turn = 8;
 constexpr std::size_t usual_actions = 64;
@@ -173,11 +167,12 @@
     }
 }
 
-void packet_duty::receive_from_callers(open_listener& listener)
+template <class Handle>
+void packet_duty::receive_batches(udp_port& port, Handle handle)
 {
     for (int turn = 0; turn < batches_a_turn; ++turn)
     {
-        const auto batch = listener.port->receive();
+        const auto batch = port.receive();
         if (batch.empty())
         {
             break;
@@ -185,81 +180,75 @@
         const time_point now = monotonic_now();
         for (const received_datagram& each : batch)
         {
-            ++metrics_.packets_received;
-            auto read =
-                decode_or_count(metrics_, [&] { return decode_packet(each.bytes); });
-            if (!read)
-            {
-                continue;
-            }
-            if (!is_from_caller(read->header.kind))
-            {
-                carry_out_one(drop_packet{drop_reason::unexpected_kind});
-                continue;
-            }
-            read->header.service = listener.service;
-            read->header.return_path = each.source;
-            read->header.hops = 0;
-            decide_caller_packet(state_, read->header, read->payload, now, actions_);
-            carry_out(now);
+            handle(each, now);
         }
         flush();
     }
 }
 
+void packet_duty::receive_from_callers(open_listener& listener)
+{
+    receive_batches(*listener.port, [&](const received_datagram& each, time_point now)
+                    { handle_caller_datagram(listener, each, now); });
+}
+
 void packet_duty::receive_from_targets()
 {
-    for (int turn = 0; turn < batches_a_turn; ++turn)
+    receive_batches(target_port_, [this](const received_datagram& each, time_point now)
+                    { handle_target_datagram(each, now); });
+}
+
+void packet_duty::receive_from_peers()
+{
+    receive_batches(peer_port_, [this](const received_datagram& each, time_point now)
+                    { handle_peer_datagram(each, now); });
+}
+
+void packet_duty::handle_caller_datagram(const open_listener& listener,
+                                         const received_datagram& datagram,
+                                         time_point now)
+{
+    ++metrics_.packets_received;
+    auto read = decode_or_count(metrics_, [&] { return decode_packet(datagram.bytes); });
+    if (!read)
     {
-        const auto batch = target_port_.receive();
-        if (batch.empty())
-        {
-            break;
-        }
-        const time_point now = monotonic_now();
-        for (const received_datagram& each : batch)
-        {
-            const auto sender = targets_by_address_.find(each.source);
-            if (sender == targets_by_address_.end())
-            {
-                carry_out_one(drop_packet{drop_reason::stale_answer});
-                continue;
-            }
-            const auto read =
-                decode_or_count(metrics_, [&] { return decode_packet(each.bytes); });
-            if (!read)
-            {
-                continue;
-            }
-            if (is_from_caller(read->header.kind))
-            {
-                carry_out_one(drop_packet{drop_reason::unexpected_kind});
-                continue;
-            }
-            decide_target_packet(state_, sender->second, read->header, read->payload, now,
-                                 actions_);
-            carry_out(now);
-        }
-        flush();
+        return;
     }
+    if (!is_from_caller(read->header.kind))
+    {
+        carry_out_one(drop_packet{drop_reason::unexpected_kind});
+        return;
+    }
+    read->header.service = listener.service;
+    read->header.return_path = datagram.source;
+    read->header.hops = 0;
+    decide_caller_packet(state_, read->header, read->payload, now, actions_);
+    carry_out();
 }
 
-void packet_duty::receive_from_peers()
+void packet_duty::handle_target_datagram(const received_datagram& datagram,
+                                         time_point now)
 {
-    for (int turn = 0; turn < batches_a_turn; ++turn)
+    const auto sender = targets_by_address_.find(datagram.source);
+    if (sender == targets_by_address_.end())
     {
-        const auto batch = peer_port_.receive();
-        if (batch.empty())
-        {
-            break;
-        }
-        const time_point now = monotonic_now();
-        for (const received_datagram& each : batch)
-        {
-            handle_peer_datagram(each, now);
-        }
-        flush();
+        carry_out_one(drop_packet{drop_reason::stale_answer});
+        return;
+    }
+    const auto read =
+        decode_or_count(metrics_, [&] { return decode_packet(datagram.bytes); });
+    if (!read)
+    {
+        return;
+    }
+    if (is_from_caller(read->header.kind))
+    {
+        carry_out_one(drop_packet{drop_reason::unexpected_kind});
+        return;
     }
+    decide_target_packet(state_, sender->second, read->header, read->payload, now,
+                         actions_);
+    carry_out();
 }
 
 void packet_duty::handle_peer_datagram(const received_datagram& datagram, time_point now)
@@ -284,7 +273,7 @@
     if (const auto* const message = std::get_if<peer_message>(&read->body))
     {
         decide_peer_message(state_, read->sender, *message, now, actions_);
-        carry_out(now);
+        carry_out();
     }
 }
 
@@ -297,10 +286,10 @@
         return;
     }
     decide_passed_packet(state_, sender, read->header, read->payload, now, actions_);
-    carry_out(now);
+    carry_out();
 }
 
-void packet_duty::carry_out(time_point /*now*/)
+void packet_duty::carry_out()
 {
     for (const action& each : actions_)
     {
@@ -419,7 +408,7 @@
 {
     const time_point now = monotonic_now();
     tick(state_, wall_now(), now, actions_);
-    carry_out(now);
+    carry_out();
     flush();
     order_store_commands();
     fetch_newer_configuration(now);
@@ -441,84 +430,4 @@
     wait_for_tick();
 }
 
-void packet_duty::tell_platform_duty()
-{
-    outputs_.platform(reader_role{
-        .is_reader = reads_platform(state_.members),
-        .poll_interval = platform_poll_interval(state_.members),
-        .in_force = state_.in_force ? state_.in_force->generation : generation{}});
-}
-
-void packet_duty::order_store_commands()
-{
-    for (const store_command& each : state_.store_commands)
-    {
-        outputs_.roster({.region = std::string(region_of(state_)), .command = each});
-    }
-    state_.store_commands.clear();
-}
-
-void packet_duty::fetch_newer_configuration(time_point now)
-{
-    const auto holder = newer_configuration_at(state_);
-    if (!holder || now - last_fetch_ < fetch_interval)
-    {
-        return;
-    }
-    const known_member* const known = find_member(state_.members, *holder);
-    if (known == nullptr)
-    {
-        return;
-    }
-    last_fetch_ = now;
-    outputs_.transfer(fetch_configuration{
-        .peer = known->digest.address,
-        .newer_than = state_.in_force ? state_.in_force->generation : generation{}});
-}
-
-void packet_duty::refresh_drains(time_point now)
-{
-    if (!state_.in_force || now - last_drains_ < drains_interval)
-    {
-        return;
-    }
-    last_drains_ = now;
-    drains_ = drains_of(*state_.in_force, state_.router, wall_now());
-}
-
-void packet_duty::publish_snapshot()
-{
-    outputs_.operators(make_snapshot());
-    if (published_version_ == state_.members.version || !envelope_text_)
-    {
-        return;
-    }
-    published_version_ = state_.members.version;
-    outputs_.transfer(publish_configuration{.number = state_.in_force->generation,
-                                            .text = envelope_text_,
-                                            .members = living_members(state_.members)});
-}
-
-shared_snapshot packet_duty::make_snapshot() const
-{
-    auto snapshot = std::make_shared<instance_snapshot>();
-    snapshot->instance = settings_.name;
-    snapshot->data_centre = settings_.data_centre;
-    snapshot->is_leaving = state_.is_leaving;
-    snapshot->may_claim = may_claim(state_, monotonic_now());
-    if (state_.in_force)
-    {
-        snapshot->in_force = state_.in_force->generation;
-        snapshot->switched = state_.router.switched;
-    }
-    for (const member& each : view_of(state_.members).members)
-    {
-        snapshot->members.push_back(
-            {.instance = "#" + std::to_string(each.instance.value), .state = each.state});
-    }
-    snapshot->drains = drains_;
-    copy_metrics(metrics_, state_.in_force.get(), *snapshot);
-    return snapshot;
-}
-
 } // namespace kumquatpath
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -69,10 +69,15 @@
     void receive_from_callers(open_listener& listener);
     void receive_from_targets();
     void receive_from_peers();
+    template <class Handle>
+    void receive_batches(udp_port& port, Handle handle);
+    void handle_caller_datagram(const open_listener& listener,
+                                const received_datagram& datagram, time_point now);
+    void handle_target_datagram(const received_datagram& datagram, time_point now);
     void handle_peer_datagram(const received_datagram& datagram, time_point now);
     void handle_passed_packet(instance_id sender, payload_view datagram, time_point now);
 
-    void carry_out(time_point now);
+    void carry_out();
     void carry_out_one(const send_to_target& order);
     void carry_out_one(const send_to_caller& order);
     void carry_out_one(const pass_to_peer& order);
