Copy structs out of a peer message before they are read

Cause: the fuzz run over peer messages under address and undefined-behaviour sanitizers found a struct read at a misaligned address: FlatBuffers' verifier does not see to it. Harmless on the machines of today, undefined all the same. Ruled out: refusing such messages (the verifier has no such check, and ours would stand twice). Change: each struct of a vector, and a submission's key, is copied out first.

--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -50,16 +50,6 @@
     return {key.flow.value, key.request.value, key.service.value};
 }
 
-submission_key from_wire(const wire::SubmissionKey* key)
-{
-    if (key == nullptr)
-    {
-        return {};
-    }
-    return {
-        .service = {key->service()}, .flow = {key->flow()}, .request = {key->request()}};
-}
-
 claim_decision decision_from_wire(std::uint8_t decision)
 {
     return decision == 0 ? claim_decision::run : claim_decision::refuse;
@@ -79,21 +69,42 @@
     return {.flow = {each.flow()}, .target = {each.target()}};
 }
 
-template <class Element, class List>
-std::vector<Element> all_from_wire(const List* list)
+/// Returns a copy of the struct at \p place. The verifier does not see to the alignment
+/// of structs, so they may not be read in place.
+template <class Struct>
+Struct copied(const void* place)
+{
+    Struct copy;
+    std::memcpy(&copy, place, sizeof copy);
+    return copy;
+}
+
+template <class Element, class Struct>
+std::vector<Element> all_from_wire(const flatbuffers::Vector<const Struct*>* list)
 {
     std::vector<Element> elements;
     if (list != nullptr)
     {
         elements.reserve(list->size());
-        for (const auto* each : *list)
+        for (std::size_t i = 0; i < list->size(); ++i)
         {
-            elements.push_back(from_wire(*each));
+            const auto* const place = list->Data() + i * sizeof(Struct);
+            elements.push_back(from_wire(copied<Struct>(place)));
         }
     }
     return elements;
 }
 
+submission_key from_wire(const wire::SubmissionKey* place)
+{
+    if (place == nullptr)
+    {
+        return {};
+    }
+    const auto key = copied<wire::SubmissionKey>(place);
+    return {.service = {key.service()}, .flow = {key.flow()}, .request = {key.request()}};
+}
+
 heartbeat from_wire(const wire::Heartbeat& body)
 {
     return {.generation = {body.generation()},
