Pass a leaving instance's new flows to others, never to itself

Cause: since a planned stop is told to peers only after votes held in advance are over, the view still names the leaving instance as alive for up to 19 s, and it chose itself for a share of the new flows, which were then dropped. It also built the whole view anew for each such packet. Ruled out: telling the peers earlier (its keys would be left undecided). Change: stand_in reads the view that the router holds, and takes the next best peer if the best is the instance itself. Conclusion: found on reading the change once more.

--- a/src/decision/instance_packets.cpp
+++ b/src/decision/instance_packets.cpp
@@ -85,7 +85,10 @@
     {
         return std::nullopt;
     }
-    return keeper_of(view_of(state.members), header.flow.value, 0);
+    // While votes are held in advance the view still names this instance as alive.
+    const member_view& view = state.router.view;
+    const auto best = keeper_of(view, header.flow.value, 0);
+    return best == view.self ? keeper_of(view, header.flow.value, 1) : best;
 }
 
 void decide_packet(instance_state& state, const packet_header& header,
--- a/test/decision/instance_test.cpp
+++ b/test/decision/instance_test.cpp
@@ -60,6 +60,22 @@
     CHECK_TRUE(has_left(state, start + 20s));
 }
 
+TEST(instance, a_leaving_instance_passes_new_flows_to_others_before_its_peers_are_told)
+{
+    merge_members(state.members, {{.instance = {2}, .incarnation = {1}}}, start);
+    state.submissions.advance.sequence = {1};
+    state.submissions.advance.asked_at = start;
+    begin_leaving(state, start);
+    run_ticks(state, start, start + 200ms);
+
+    for (std::uint64_t flow = 0; flow < 64; ++flow)
+    {
+        action_list actions;
+        decide_caller_packet(state, {.flow = {flow}}, {}, start + 200ms, actions);
+        LONGS_EQUAL(2, std::get<pass_to_peer>(actions.at(0)).peer.value);
+    }
+}
+
 TEST(instance, an_older_configuration_is_not_taken)
 {
     auto newer = std::make_shared<configuration>();
