--- /dev/null
+++ b/include/kumquatpath/decision/entry.hpp
@@ -0,0 +1,99 @@
+#ifndef KUMQUATPATH_DECISION_ENTRY_HPP
+#define KUMQUATPATH_DECISION_ENTRY_HPP
+
+/// \file
+/// One entry instance as a whole: the flows it steers, the shared state it knows and the
+/// peers it hears.
+///
+/// The shared state, which is the configuration and the announcements of targets, only
+/// ever moves forward here, whatever order it arrives in. An instance serves by what it
+/// knows for as long as nobody can tell it better.
+
+#include <kumquatpath/decision/fleet_peers.hpp>
+#include <kumquatpath/decision/flow_steering.hpp>
+
+namespace kumquatpath
+{
+
+/// The state of an entry instance.
+struct entry
+{
+    /// Differs from one start to the next.
+    std::uint64_t incarnation = 0;
+    /// Where this instance hears its peers.
+    endpoint address;
+    target_directory directory;
+    shared_configuration configuration;
+    flow_steering steering;
+    fleet_peers fleet;
+    std::uint64_t beats_sent = 0;
+    /// When the shared state was last known to be as it is here; unset: never.
+    std::optional<time_point> fresh_at;
+    std::optional<time_point> leaving_since;
+    time_point last_packet_at;
+};
+
+/// What an entry instance is told of itself at its start.
+struct entry_options
+{
+    instance_id self;
+    data_centre_id home;
+    endpoint address;
+    std::uint64_t incarnation = 0;
+    time_point started_at;
+};
+
+/// What came of a part of the shared state.
+struct state_outcome
+{
+    std::size_t targets_changed = 0;
+    bool is_configuration_new = false;
+};
+
+/// Returns the state of an instance that has just started.
+entry make_entry(const entry_options& options);
+
+// Queries.
+
+/// Returns whether the fabric should send packets here.
+bool is_ready(const entry& self);
+
+/// Returns how long ago the shared state was known to be so, or never_read.
+std::chrono::milliseconds state_age(const entry& self, time_point now);
+
+/// Returns whether an instance that leaves may end: the fabric sends it nothing any more,
+/// or its time is up.
+bool may_end(const entry& self, time_point now);
+
+/// Returns what a peer that asked lacks.
+state_reply reply_to(const entry& self, const state_request& request);
+
+/// Returns the sign of life for peers; with \p has_loads, the load of each target too.
+fleet_beat make_beat(const entry& self, bool has_loads, time_point now);
+
+// Commands.
+
+/// Takes the changes of the shared state after which it stands at \p position.
+state_outcome take_changes(entry& self, std::span<const target_change> changes,
+                           state_revision position, time_point now);
+
+/// Takes the whole shared state as it was at \p position.
+state_outcome take_listing(entry& self, std::span<const target_change> listing,
+                           state_revision position, time_point now);
+
+/// Takes \p configuration if it is newer than the one in force. Returns whether it is.
+bool take_configuration(entry& self, const shared_configuration& configuration);
+
+/// Notes that this instance has read the shared state, as it was at \p as_of.
+void note_reading(entry& self, time_point as_of, time_point now);
+
+/// Takes a beat of a peer.
+beat_outcome take_beat(entry& self, const fleet_message& message, const fleet_beat& beat,
+                       time_point now);
+
+/// Does what is due: to be called every 25 ms or so.
+void tick(entry& self, time_point now);
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/include/kumquatpath/decision/target_choice.hpp
@@ -0,0 +1,92 @@
+#ifndef KUMQUATPATH_DECISION_TARGET_CHOICE_HPP
+#define KUMQUATPATH_DECISION_TARGET_CHOICE_HPP
+
+/// \file
+/// Which target a new flow goes to.
+///
+/// An instance sees only what callers send. That is enough to judge a target: an opening
+/// that it answers is followed by the caller's next packet within a round trip, and an
+/// answered request by the caller's last one. A target that leaves openings unanswered is
+/// passed over until one is answered; flows that were opened and not yet ended are its
+/// load, together with what peers tell of theirs.
+
+#include <kumquatpath/decision/target_directory.hpp>
+
+#include <vector>
+
+namespace kumquatpath
+{
+
+/// What is seen of one target.
+struct target_evidence
+{
+    target_key key;
+    std::uint64_t incarnation = 0;
+    /// Flows that this instance placed there and that wait for their answer.
+    std::uint32_t busy = 0;
+    /// The same of all peers, as last told.
+    std::uint32_t peers_busy = 0;
+    /// Openings that nobody has answered yet.
+    std::uint32_t unanswered = 0;
+    /// When the newest opening that was answered had been sent.
+    time_point answered_opening;
+    /// When the target was last passed a trial flow while suspect.
+    time_point last_trial;
+    /// Openings sent after the last answered one that are overdue.
+    std::uint32_t overdue = 0;
+    /// Smoothed time from the opening's answer to the flow's end; 0: none seen.
+    double service_ms = 0;
+};
+
+/// What an instance knows of the targets' state; places are those of the directory.
+struct target_choice
+{
+    std::vector<target_evidence> evidence;
+    /// Smoothed time from an opening to the caller's next packet.
+    double opening_ms = 0;
+    /// The data centre of this instance.
+    data_centre_id home;
+};
+
+/// Where a new flow may go.
+struct choice_request
+{
+    service_id service;
+    /// A target that did not answer this flow's opening, or none.
+    const target_index* avoided = nullptr;
+    /// Uniform random bits; they break ties.
+    std::uint64_t random = 0;
+};
+
+// Queries.
+
+/// Returns the target for a new flow, or null if none takes flows.
+const target_index* choose_target(target_choice& choice,
+                                  const target_directory& directory,
+                                  const choice_request& request, time_point now);
+
+/// Returns whether openings that \p target should have answered are overdue.
+bool is_suspect(const target_evidence& target);
+
+/// Returns how long an opening may stay unanswered before it is overdue.
+duration opening_patience(const target_choice& choice);
+
+// Commands.
+
+/// Returns the evidence of the target at \p place; it starts anew with each incarnation.
+target_evidence& evidence_of(target_choice& choice, const target_directory& directory,
+                             target_index place);
+
+/// Notes that an opening which was sent at \p sent was answered by \p now.
+void note_answered(target_choice& choice, target_evidence& target, time_point sent,
+                   time_point now);
+
+/// Notes that the opening sent at \p sent is overdue.
+void note_overdue(target_evidence& target, time_point sent);
+
+/// Notes how long a flow took from its opening's answer to its end.
+void note_served(target_evidence& target, duration time);
+
+} // namespace kumquatpath
+
+#endif
--- a/include/kumquatpath/edge/http_client.hpp
+++ b/include/kumquatpath/edge/http_client.hpp
@@ -6,11 +6,15 @@
 
 #include <kumquatpath/model/endpoint.hpp>
 
+#include <boost/asio/io_context.hpp>
 #include <boost/leaf/result.hpp>
+#include <boost/system/error_code.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace kumquatpath
@@ -68,18 +72,26 @@
     /// Sends \p request and waits for the answer; opening a connection and the call
     /// itself each take at most its timeout. Fails with http_failure.
     ///
-    /// A read that fails on a connection which an earlier call left open is sent once
-    /// more on a new one, as the server may have closed the old one in the meantime. Any
-    /// other method is sent once.
+    /// A read that fails at once on a connection which an earlier call left open is sent
+    /// once more on a new one, as the server may have closed the old one in the meantime.
+    /// A read that got no answer in time, and any other method, is sent once.
     boost::leaf::result<http_answer> call(const http_request& request);
 
+    /// Ends the call that is under way and fails all later ones; may be called from any
+    /// thread.
+    void cancel();
+
 private:
     struct connection;
 
     boost::leaf::result<http_answer> call_once(const http_request& request);
     bool connect(std::chrono::milliseconds timeout);
+    boost::system::error_code run(const std::optional<boost::system::error_code>& ended);
 
     endpoint server_;
+    boost::asio::io_context context_{1};
+    std::atomic<bool> is_cancelled_{false};
+    bool has_timed_out_ = false;
     std::unique_ptr<connection> connection_;
 };
 
--- a/include/kumquatpath/edge/peer_codec.hpp
+++ b/include/kumquatpath/edge/peer_codec.hpp
@@ -9,22 +9,19 @@
 /// parsed.
 
 #include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/edge/peer_seal.hpp>
 #include <kumquatpath/model/peer_message.hpp>
 
 #include <boost/leaf/result.hpp>
 
 #include <flatbuffers/flatbuffers.h>
 
-#include <array>
 #include <string>
 #include <variant>
 
 namespace kumquatpath
 {
 
-/// The key that all instances of one fleet share.
-using peer_key = std::array<unsigned char, 32>;
-
 /// The version that this release writes, and the only one that it reads.
 inline constexpr std::uint8_t peer_version = 1;
 
@@ -78,14 +75,6 @@
 void encode_peer(flatbuffers::FlatBufferBuilder& builder, const peer_envelope& envelope,
                  const peer_key& key, std::vector<std::byte>& out);
 
-/// The failure of parse_peer_key(): the text is not 64 hexadecimal digits.
-struct malformed_peer_key
-{
-};
-
-/// Reads a key of 64 hexadecimal digits.
-boost::leaf::result<peer_key> parse_peer_key(std::string_view text);
-
 } // namespace kumquatpath
 
 #endif
--- /dev/null
+++ b/include/kumquatpath/model/routing_table.hpp
@@ -0,0 +1,69 @@
+#ifndef KUMQUATPATH_MODEL_ROUTING_TABLE_HPP
+#define KUMQUATPATH_MODEL_ROUTING_TABLE_HPP
+
+/// \file
+/// A configuration reduced to what is needed to place flows.
+
+#include <kumquatpath/model/endpoint.hpp>
+#include <kumquatpath/model/ids.hpp>
+#include <kumquatpath/model/target_record.hpp>
+
+#include <boost/unordered/unordered_flat_map.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace kumquatpath
+{
+
+/// A service that takes a share of a listener's new flows.
+struct weighted_service
+{
+    service_id service;
+    std::uint32_t weight = 1;
+};
+
+/// Where the new flows of one listener go.
+struct route
+{
+    std::string name;
+    /// At least one, each with a weight above 0.
+    std::vector<weighted_service> services;
+    /// 0 is the most urgent.
+    std::uint32_t priority = 0;
+    /// Whether a request may run more than once without harm.
+    bool is_repeatable = false;
+    /// The time within which an answer is of full use.
+    std::chrono::milliseconds latency_goal{0};
+};
+
+/// The routes of one configuration, by the address that callers send to.
+struct routing_table
+{
+    /// The operators' number of the configuration.
+    kumquatpath::generation generation;
+    boost::unordered_flat_map<std::uint64_t, route> routes;
+};
+
+/// Returns the route of \p listener, or null.
+inline const route* find_route(const routing_table& table, const endpoint& listener)
+{
+    const auto found = table.routes.find(pack(listener));
+    return found == table.routes.end() ? nullptr : &found->second;
+}
+
+/// A configuration as it travels: its text as the operators wrote it, and what was read
+/// from it.
+struct shared_configuration
+{
+    state_revision revision;
+    std::shared_ptr<const std::string> text;
+    std::shared_ptr<const routing_table> table;
+};
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/decision/entry.cpp
@@ -0,0 +1,212 @@
+#include <kumquatpath/decision/entry.hpp>
+
+#include <algorithm>
+
+namespace kumquatpath
+{
+namespace
+{
+
+/// The fabric needs this long to see that an instance leaves.
+constexpr duration least_leave = std::chrono::milliseconds(1200);
+constexpr duration quiet_before_end = std::chrono::milliseconds(400);
+constexpr duration longest_leave = std::chrono::milliseconds(5000);
+constexpr std::size_t most_members_told = 8;
+constexpr std::size_t most_loads_told = 100;
+
+/// Notes a return of the shared state if it was out of reach for long.
+void note_freshness(entry& self, time_point as_of, time_point now)
+{
+    if (self.fresh_at && as_of - *self.fresh_at >= lapsing_outage)
+    {
+        note_return(self.directory, as_of - *self.fresh_at, now);
+    }
+    self.fresh_at = self.fresh_at ? std::max(*self.fresh_at, as_of) : as_of;
+}
+
+void add_loads(entry& self, std::span<const target_load_report> loads, bool is_added)
+{
+    for (const target_load_report& each : loads)
+    {
+        const target_index* const place = find_by_token(self.directory, each.token);
+        if (place == nullptr)
+        {
+            continue;
+        }
+        std::uint32_t& sum =
+            evidence_of(self.steering.choice, self.directory, *place).peers_busy;
+        sum = is_added ? sum + each.busy : sum - std::min(sum, each.busy);
+    }
+}
+
+/// Sums the loads of all live peers anew, so that no error of a difference stays.
+void sum_loads(entry& self, time_point now)
+{
+    for (target_evidence& each : self.steering.choice.evidence)
+    {
+        each.peers_busy = 0;
+    }
+    for (const auto& [instance, peer] : self.fleet.peers)
+    {
+        if (is_live(peer, now))
+        {
+            add_loads(self, peer.loads, true);
+        }
+    }
+}
+
+} // namespace
+
+entry make_entry(const entry_options& options)
+{
+    entry self{.incarnation = options.incarnation, .address = options.address};
+    self.fleet.self = options.self;
+    self.fleet.home = options.home;
+    self.fleet.started_at = options.started_at;
+    self.steering.choice.home = options.home;
+    self.steering.random = mix(options.self.value, options.incarnation);
+    return self;
+}
+
+bool is_ready(const entry& self)
+{
+    return self.configuration.table != nullptr && self.directory.position.value > 0 &&
+           !self.leaving_since;
+}
+
+std::chrono::milliseconds state_age(const entry& self, time_point now)
+{
+    const state_freshness newest = newest_freshness(self.fleet, self.directory.position);
+    if (!newest.as_of)
+    {
+        return never_read;
+    }
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - *newest.as_of);
+    return std::clamp(age, std::chrono::milliseconds(0), never_read);
+}
+
+bool may_end(const entry& self, time_point now)
+{
+    if (!self.leaving_since)
+    {
+        return false;
+    }
+    const duration time = now - *self.leaving_since;
+    const bool is_quiet =
+        time >= least_leave && now >= self.last_packet_at + quiet_before_end;
+    return is_quiet || time >= longest_leave;
+}
+
+state_reply reply_to(const entry& self, const state_request& request)
+{
+    state_reply reply{.position = self.directory.position,
+                      .targets = changes_since(self.directory, request.position),
+                      .configuration = self.configuration.revision};
+    if (self.configuration.text && self.configuration.revision > request.configuration)
+    {
+        reply.configuration_text = *self.configuration.text;
+    }
+    return reply;
+}
+
+fleet_beat make_beat(const entry& self, bool has_loads, time_point now)
+{
+    fleet_beat beat{
+        .incarnation = self.incarnation,
+        .address = self.address,
+        .data_centre = self.fleet.home,
+        .is_leaving = self.leaving_since.has_value(),
+        .position = self.directory.position,
+        .configuration = self.configuration.revision,
+        .age = state_age(self, now),
+        .read_by = newest_freshness(self.fleet, self.directory.position).read_by,
+        .members = members_to_tell(self.fleet, most_members_told, self.beats_sent, now)};
+    const auto& evidence = self.steering.choice.evidence;
+    for (std::size_t i = 0; has_loads && i < evidence.size(); ++i)
+    {
+        if (evidence[i].busy > 0 && beat.loads.size() < most_loads_told)
+        {
+            beat.loads.push_back(
+                {.token = token_of(evidence[i].key), .busy = evidence[i].busy});
+        }
+    }
+    return beat;
+}
+
+state_outcome take_changes(entry& self, std::span<const target_change> changes,
+                           state_revision position, time_point now)
+{
+    if (self.fresh_at)
+    {
+        note_return(self.directory, now - *self.fresh_at, now);
+    }
+    state_outcome outcome;
+    for (const target_change& each : changes)
+    {
+        outcome.targets_changed += apply_change(self.directory, each, now) ? 1U : 0U;
+    }
+    self.directory.position = std::max(self.directory.position, position);
+    return outcome;
+}
+
+state_outcome take_listing(entry& self, std::span<const target_change> listing,
+                           state_revision position, time_point now)
+{
+    if (self.fresh_at)
+    {
+        note_return(self.directory, now - *self.fresh_at, now);
+    }
+    apply_listing(self.directory, listing, position, now);
+    return {.targets_changed = listing.size()};
+}
+
+bool take_configuration(entry& self, const shared_configuration& configuration)
+{
+    if (configuration.revision <= self.configuration.revision)
+    {
+        return false;
+    }
+    self.configuration = configuration;
+    return true;
+}
+
+void note_reading(entry& self, time_point as_of, time_point now)
+{
+    self.fleet.own = {.as_of = as_of, .read_by = self.fleet.self};
+    note_freshness(self, as_of, now);
+}
+
+beat_outcome take_beat(entry& self, const fleet_message& message, const fleet_beat& beat,
+                       time_point now)
+{
+    const auto known = self.fleet.peers.find(message.sender);
+    const auto former = known == self.fleet.peers.end()
+                            ? std::vector<target_load_report>()
+                            : known->second.loads;
+    const beat_outcome outcome =
+        hear_beat(self.fleet, message.sender, message.sequence, beat, now);
+    if (!outcome.is_stale)
+    {
+        add_loads(self, former, false);
+        add_loads(self, beat.loads, true);
+    }
+    return outcome;
+}
+
+void tick(entry& self, time_point now)
+{
+    review_flows(self.steering, self.directory, now);
+    const state_freshness newest = newest_freshness(self.fleet, self.directory.position);
+    if (newest.as_of)
+    {
+        note_freshness(self, *newest.as_of, now);
+    }
+    if (!forget_silent(self.fleet, now).empty())
+    {
+        sum_loads(self, now);
+    }
+    forget_gone(self.directory, now);
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/decision/flow_steering.cpp
@@ -0,0 +1,286 @@
+#include <kumquatpath/decision/flow_steering.hpp>
+
+#include <algorithm>
+
+namespace kumquatpath
+{
+namespace
+{
+
+/// A flow that nobody has answered is over for its caller after this time.
+constexpr duration opening_lifetime = std::chrono::milliseconds(1500);
+/// A flow whose answer has not come after this time no longer counts as load.
+constexpr duration longest_work = std::chrono::seconds(4);
+/// An ended flow is remembered for its last packets.
+constexpr duration ended_memory = std::chrono::seconds(2);
+constexpr duration idle_memory = std::chrono::seconds(20);
+constexpr duration sweep_interval = std::chrono::milliseconds(500);
+
+std::uint64_t flow_key(const flow_packet& packet)
+{
+    return mix(pack(packet.caller), pack(packet.listener));
+}
+
+service_id pick_service(const route& chosen, std::uint64_t random)
+{
+    std::uint64_t total = 0;
+    for (const weighted_service& each : chosen.services)
+    {
+        total += each.weight;
+    }
+    std::uint64_t left = total == 0 ? 0 : random % total;
+    for (const weighted_service& each : chosen.services)
+    {
+        if (left < each.weight)
+        {
+            return each.service;
+        }
+        left -= each.weight;
+    }
+    return chosen.services.front().service;
+}
+
+void set_busy(flow_steering& steering, const target_directory& directory, seen_flow& flow,
+              bool is_busy)
+{
+    if (flow.is_busy == is_busy)
+    {
+        return;
+    }
+    flow.is_busy = is_busy;
+    target_evidence& evidence = evidence_of(steering.choice, directory, flow.target);
+    if (evidence.key != flow.key)
+    {
+        return;
+    }
+    if (is_busy)
+    {
+        ++evidence.busy;
+    }
+    else
+    {
+        evidence.busy -= std::min(evidence.busy, 1U);
+    }
+}
+
+steering_decision forward_to(const target_directory& directory, target_index target,
+                             bool is_placement)
+{
+    return {.verdict = steering_verdict::forward,
+            .target = target,
+            .token = directory.targets[target].token,
+            .is_placement = is_placement};
+}
+
+void place(flow_steering& steering, const target_directory& directory, seen_flow& flow,
+           target_index target, time_point now)
+{
+    set_busy(steering, directory, flow, false);
+    flow.target = target;
+    flow.key = directory.targets[target].record.key;
+    flow.placed_at = now;
+    set_busy(steering, directory, flow, true);
+}
+
+/// Returns whether the target of \p flow has answered an opening sent after this one:
+/// then it lives, and what got lost was a packet.
+bool is_target_alive(flow_steering& steering, const target_directory& directory,
+                     const seen_flow& flow)
+{
+    const target_evidence& evidence =
+        evidence_of(steering.choice, directory, flow.target);
+    return evidence.key == flow.key && evidence.answered_opening > flow.placed_at;
+}
+
+/// Places another copy of the packet that opened \p flow.
+steering_decision steer_copy(flow_steering& steering, const route& chosen,
+                             const target_directory& directory, std::uint64_t key,
+                             seen_flow& flow, time_point now)
+{
+    flow.last_seen = now;
+    const bool is_same = flow.is_answered || is_target_alive(steering, directory, flow);
+    if (is_same)
+    {
+        return forward_to(directory, flow.target, false);
+    }
+    const target_index avoided = flow.target;
+    const target_index* const next =
+        choose_target(steering.choice, directory,
+                      {.service = pick_service(chosen, steering.random),
+                       .avoided = &avoided,
+                       .random = steering.random},
+                      now);
+    if (next == nullptr || *next == avoided)
+    {
+        return forward_to(directory, flow.target, false);
+    }
+    place(steering, directory, flow, *next, now);
+    steering.pending.push_back(
+        {.flow = key, .due = now + opening_patience(steering.choice)});
+    ++flow.placements;
+    return forward_to(directory, flow.target, true);
+}
+
+steering_decision steer_opening(flow_steering& steering, const routing_table& table,
+                                const target_directory& directory,
+                                const flow_packet& packet, time_point now)
+{
+    const route* const chosen = find_route(table, packet.listener);
+    if (chosen == nullptr)
+    {
+        return {.verdict = steering_verdict::no_route};
+    }
+    steering.random = mix(steering.random, pack(packet.caller));
+    const std::uint64_t key = flow_key(packet);
+    const auto found = steering.flows.find(key);
+    if (found != steering.flows.end() && now < found->second.opened_at + opening_lifetime)
+    {
+        return steer_copy(steering, *chosen, directory, key, found->second, now);
+    }
+    const target_index* const target = choose_target(
+        steering.choice, directory,
+        {.service = pick_service(*chosen, steering.random), .random = steering.random},
+        now);
+    if (target == nullptr)
+    {
+        return {.verdict = steering_verdict::no_target};
+    }
+    if (steering.flows.size() < most_remembered_flows)
+    {
+        seen_flow& flow = steering.flows[key];
+        set_busy(steering, directory, flow, false);
+        flow = seen_flow{.target = *target, .opened_at = now, .last_seen = now};
+        place(steering, directory, flow, *target, now);
+        steering.pending.push_back(
+            {.flow = key, .due = now + opening_patience(steering.choice)});
+    }
+    return forward_to(directory, *target, true);
+}
+
+void note_answer(flow_steering& steering, const target_directory& directory,
+                 seen_flow& flow, target_index by, time_point now)
+{
+    if (flow.target != by)
+    {
+        const time_point sent = flow.opened_at;
+        place(steering, directory, flow, by, now);
+        flow.placed_at = sent;
+    }
+    flow.is_answered = true;
+    flow.answered_at = now;
+    target_evidence& evidence = evidence_of(steering.choice, directory, by);
+    note_answered(steering.choice, evidence, flow.placed_at, now);
+}
+
+void note_packet(flow_steering& steering, const target_directory& directory,
+                 seen_flow& flow, const flow_packet& packet, time_point now)
+{
+    flow.last_seen = now;
+    if (packet.is_end)
+    {
+        flow.is_ended = true;
+        if (flow.is_busy && flow.is_answered)
+        {
+            note_served(evidence_of(steering.choice, directory, flow.target),
+                        now - flow.answered_at);
+        }
+        set_busy(steering, directory, flow, false);
+    }
+}
+
+void review_opening(flow_steering& steering, const target_directory& directory,
+                    const seen_flow& flow)
+{
+    target_evidence& evidence = evidence_of(steering.choice, directory, flow.target);
+    if (!flow.is_answered && evidence.key == flow.key)
+    {
+        note_overdue(evidence, flow.placed_at);
+    }
+}
+
+/// Takes flows off the load that get no answer, and forgets those that are over.
+void sweep(flow_steering& steering, const target_directory& directory, time_point now)
+{
+    for (auto each = steering.flows.begin(); each != steering.flows.end();)
+    {
+        seen_flow& flow = each->second;
+        const bool is_given_up =
+            (!flow.is_answered && now >= flow.opened_at + opening_lifetime) ||
+            now >= flow.last_seen + longest_work;
+        if (is_given_up)
+        {
+            set_busy(steering, directory, flow, false);
+        }
+        const bool is_lasting = flow.is_answered && !flow.is_ended;
+        const bool is_over =
+            !flow.is_busy &&
+            now >= flow.last_seen + (is_lasting ? idle_memory : ended_memory);
+        const auto current = each++;
+        if (is_over)
+        {
+            steering.flows.erase(current);
+        }
+    }
+}
+
+} // namespace
+
+steering_decision steer(flow_steering& steering, const routing_table& table,
+                        const target_directory& directory, const flow_packet& packet,
+                        time_point now)
+{
+    if (packet.is_opening)
+    {
+        return steer_opening(steering, table, directory, packet, now);
+    }
+    const target_index* const told = find_by_token(directory, packet.token);
+    if (told == nullptr)
+    {
+        return {.verdict = steering_verdict::unknown_token};
+    }
+    const auto found = steering.flows.find(flow_key(packet));
+    if (found == steering.flows.end())
+    {
+        return forward_to(directory, *told, false);
+    }
+    seen_flow& flow = found->second;
+    steering_decision decision;
+    if (!flow.is_answered)
+    {
+        decision.opening_time = now - flow.placed_at;
+        note_answer(steering, directory, flow, *told, now);
+    }
+    if (packet.is_end && !flow.is_ended)
+    {
+        decision.flow_time = now - flow.opened_at;
+    }
+    note_packet(steering, directory, flow, packet, now);
+    // A second target that answered late must not draw the flow to itself.
+    const bool is_settled =
+        flow.placements > 1 && directory.targets[flow.target].record.key == flow.key;
+    decision.verdict = steering_verdict::forward;
+    decision.target = is_settled ? flow.target : *told;
+    decision.token = directory.targets[decision.target].token;
+    return decision;
+}
+
+void review_flows(flow_steering& steering, const target_directory& directory,
+                  time_point now)
+{
+    while (!steering.pending.empty() && now >= steering.pending.front().due)
+    {
+        const auto found = steering.flows.find(steering.pending.front().flow);
+        steering.pending.pop_front();
+        if (found != steering.flows.end())
+        {
+            review_opening(steering, directory, found->second);
+        }
+    }
+    if (now >= steering.next_sweep)
+    {
+        steering.next_sweep = now + sweep_interval;
+        sweep(steering, directory, now);
+    }
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/decision/target_choice.cpp
@@ -0,0 +1,194 @@
+#include <kumquatpath/decision/target_choice.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace kumquatpath
+{
+namespace
+{
+
+constexpr double smoothing = 0.1;
+constexpr double service_smoothing = 0.05;
+constexpr duration least_patience = std::chrono::milliseconds(40);
+constexpr duration most_patience = std::chrono::milliseconds(180);
+constexpr double patience_in_openings = 4;
+/// Overdue openings from which on a target is passed over.
+constexpr std::uint32_t overdue_to_suspect = 2;
+constexpr duration trial_interval = std::chrono::milliseconds(700);
+/// What a way to another data centre counts, in shares of a target's slots.
+constexpr double remote_cost = 0.34;
+/// How much longer a target takes that has just started.
+constexpr double cold_factor = 1.6;
+constexpr double least_slowness = 0.6;
+constexpr double most_slowness = 6;
+
+double milliseconds_of(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+double smoothed(double old_value, double sample, double share)
+{
+    return old_value == 0 ? sample : old_value + share * (sample - old_value);
+}
+
+bool is_cold(const known_target& target, time_point now)
+{
+    return now < target.announced_at + target.record.warm_up_left;
+}
+
+/// Returns the mean service time of the targets at \p places; 0: none is known.
+double mean_service_ms(const target_choice& choice, std::span<const target_index> places)
+{
+    double sum = 0;
+    double count = 0;
+    for (const target_index place : places)
+    {
+        const double time =
+            place < choice.evidence.size() ? choice.evidence[place].service_ms : 0;
+        sum += time;
+        count += time > 0 ? 1 : 0;
+    }
+    return count > 0 ? sum / count : 0;
+}
+
+double slowness_of(const target_evidence& evidence, double mean_ms)
+{
+    if (mean_ms <= 0 || evidence.service_ms <= 0)
+    {
+        return 1;
+    }
+    return std::clamp(evidence.service_ms / mean_ms, least_slowness, most_slowness);
+}
+
+/// Returns how long a flow would wait at \p target, in shares of a service time.
+double cost_of(const target_choice& choice, const known_target& target,
+               const target_evidence& evidence, double mean_ms, time_point now)
+{
+    const double slots = std::max(1U, target.record.slots);
+    const double load = (evidence.busy + evidence.peers_busy) / slots;
+    double cost = (1 + load) * slowness_of(evidence, mean_ms);
+    cost *= is_cold(target, now) ? cold_factor : 1;
+    cost += target.record.data_centre == choice.home ? 0 : remote_cost;
+    return cost;
+}
+
+/// A pseudo-random number in [0, 1), from \p bits and \p place.
+double jitter(std::uint64_t bits, target_index place)
+{
+    constexpr double scale = 1.0 / 4294967296.0;
+    return static_cast<double>(mix(bits, place) >> 32U) * scale;
+}
+
+bool is_trial_due(const target_evidence& evidence, time_point now)
+{
+    return now >= evidence.last_trial + trial_interval;
+}
+
+} // namespace
+
+bool is_suspect(const target_evidence& target)
+{
+    return target.overdue >= overdue_to_suspect;
+}
+
+duration opening_patience(const target_choice& choice)
+{
+    const auto time =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
+            patience_in_openings * choice.opening_ms));
+    return std::clamp(time, least_patience, most_patience);
+}
+
+target_evidence& evidence_of(target_choice& choice, const target_directory& directory,
+                             target_index place)
+{
+    if (place >= choice.evidence.size())
+    {
+        choice.evidence.resize(directory.targets.size());
+    }
+    target_evidence& evidence = choice.evidence[place];
+    const target_record& record = directory.targets[place].record;
+    if (evidence.key != record.key)
+    {
+        evidence = target_evidence{.key = record.key, .incarnation = record.incarnation};
+    }
+    if (evidence.incarnation != record.incarnation)
+    {
+        evidence.incarnation = record.incarnation;
+        evidence.overdue = 0;
+        evidence.service_ms = 0;
+    }
+    return evidence;
+}
+
+const target_index* choose_target(target_choice& choice,
+                                  const target_directory& directory,
+                                  const choice_request& request, time_point now)
+{
+    constexpr double tie_breadth = 0.05;
+    constexpr double suspect_cost = 1000;
+    const std::span<const target_index> places = targets_of(directory, request.service);
+    const double mean_ms = mean_service_ms(choice, places);
+    const target_index* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (const target_index& place : places)
+    {
+        const known_target& target = directory.targets[place];
+        if (!takes_new_flows(target, now))
+        {
+            continue;
+        }
+        target_evidence& evidence = evidence_of(choice, directory, place);
+        double cost = cost_of(choice, target, evidence, mean_ms, now) +
+                      tie_breadth * jitter(request.random, place);
+        if (request.avoided != nullptr && *request.avoided == place)
+        {
+            cost += 2 * suspect_cost;
+        }
+        else if (is_suspect(evidence))
+        {
+            if (request.avoided == nullptr && is_trial_due(evidence, now))
+            {
+                evidence.last_trial = now;
+                return &place;
+            }
+            cost += suspect_cost;
+        }
+        if (cost < best_cost)
+        {
+            best_cost = cost;
+            best = &place;
+        }
+    }
+    return best;
+}
+
+void note_answered(target_choice& choice, target_evidence& target, time_point sent,
+                   time_point now)
+{
+    choice.opening_ms =
+        smoothed(choice.opening_ms, milliseconds_of(now - sent), smoothing);
+    if (sent >= target.answered_opening)
+    {
+        target.answered_opening = sent;
+        target.overdue = 0;
+    }
+}
+
+void note_overdue(target_evidence& target, time_point sent)
+{
+    if (sent > target.answered_opening)
+    {
+        ++target.overdue;
+    }
+}
+
+void note_served(target_evidence& target, duration time)
+{
+    target.service_ms =
+        smoothed(target.service_ms, milliseconds_of(time), service_smoothing);
+}
+
+} // namespace kumquatpath
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -48,33 +48,45 @@
 
 struct http_client::connection
 {
-    asio::io_context context{1};
-    beast::tcp_stream stream{context};
+    explicit connection(asio::io_context& context) : stream(context) {}
+
+    beast::tcp_stream stream;
     beast::flat_buffer buffer;
     /// Whether a whole call has been answered on this connection.
     bool is_used = false;
-
-    /// Runs the one operation that was started and returns how it ended.
-    beast::error_code run(const std::optional<beast::error_code>& ended)
-    {
-        context.restart();
-        context.run();
-        return ended.value_or(asio::error::operation_aborted);
-    }
 };
 
 http_client::http_client(const endpoint& server) : server_(server) {}
 
 http_client::~http_client() = default;
 
+beast::error_code http_client::run(const std::optional<beast::error_code>& ended)
+{
+    context_.restart();
+    if (is_cancelled_)
+    {
+        return asio::error::operation_aborted;
+    }
+    context_.run();
+    const beast::error_code result = ended.value_or(asio::error::operation_aborted);
+    has_timed_out_ = result == beast::error::timeout;
+    return result;
+}
+
+void http_client::cancel()
+{
+    is_cancelled_ = true;
+    context_.stop();
+}
+
 bool http_client::connect(std::chrono::milliseconds timeout)
 {
-    connection_ = std::make_unique<connection>();
+    connection_ = std::make_unique<connection>(context_);
     std::optional<beast::error_code> ended;
     connection_->stream.expires_after(timeout);
     connection_->stream.async_connect(to_asio(server_),
                                       [&](beast::error_code error) { ended = error; });
-    if (connection_->run(ended))
+    if (run(ended))
     {
         connection_.reset();
         return false;
@@ -105,11 +117,11 @@
     http::async_write(connection_->stream, message, note);
     http::response_parser<http::string_body> parser;
     parser.body_limit(largest_body);
-    if (!connection_->run(ended))
+    if (!run(ended))
     {
         ended.reset();
         http::async_read(connection_->stream, connection_->buffer, parser, note);
-        connection_->run(ended);
+        run(ended);
     }
     if (ended.value_or(asio::error::operation_aborted))
     {
@@ -130,7 +142,7 @@
 {
     const bool may_be_stale = connection_ && connection_->is_used;
     auto answer = call_once(request);
-    if (!answer && may_be_stale && request.method == http_method::read)
+    if (!answer && may_be_stale && !has_timed_out_ && request.method == http_method::read)
     {
         return call_once(request);
     }
--- a/src/edge/peer_codec.cpp
+++ b/src/edge/peer_codec.cpp
@@ -1,7 +1,6 @@
 #include <kumquatpath/edge/peer_codec.hpp>
 
 #include <peer_generated.h>
-#include <sodium.h>
 
 #include <algorithm>
 #include <cstring>
@@ -11,24 +10,6 @@
 namespace
 {
 
-constexpr std::size_t hash_size = 16;
-using hash_bytes = std::array<unsigned char, hash_size>;
-
-hash_bytes keyed_hash(payload_view bytes, const peer_key& key)
-{
-    hash_bytes hash{};
-    crypto_generichash(hash.data(), hash.size(),
-                       reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-                       key.data(), key.size());
-    return hash;
-}
-
-bool is_authentic(payload_view message, const peer_key& key)
-{
-    const hash_bytes expected = keyed_hash(message.subspan(hash_size), key);
-    return sodium_memcmp(expected.data(), message.data(), hash_size) == 0;
-}
-
 wire::MemberDigest to_wire(const member_digest& each)
 {
     return {each.incarnation.value, pack(each.address), each.instance.value,
@@ -368,15 +349,7 @@
 boost::leaf::result<peer_envelope> decode_peer(payload_view message, const peer_key& key,
                                                std::size_t longest)
 {
-    if (message.size() <= hash_size || message.size() > longest)
-    {
-        return boost::leaf::new_error(drop_reason::malformed);
-    }
-    if (!is_authentic(message, key))
-    {
-        return boost::leaf::new_error(drop_reason::unauthenticated_peer);
-    }
-    const payload_view bytes = message.subspan(hash_size);
+    BOOST_LEAF_AUTO(bytes, unseal(message, key, longest));
     flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t*>(bytes.data()),
                                    bytes.size());
     if (!wire::VerifyPeerMessageBuffer(verifier))
@@ -403,25 +376,8 @@
         wire::CreatePeerMessage(builder, peer_version, envelope.sender.value,
                                 envelope.sequence, writer.type, body);
     wire::FinishPeerMessageBuffer(builder, root);
-    const auto bytes =
-        std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize()));
-    const hash_bytes hash = keyed_hash(bytes, key);
-    const auto hash_view = std::as_bytes(std::span(hash));
-    out.insert(out.end(), hash_view.begin(), hash_view.end());
-    out.insert(out.end(), bytes.begin(), bytes.end());
-}
-
-boost::leaf::result<peer_key> parse_peer_key(std::string_view text)
-{
-    peer_key key{};
-    std::size_t read = 0;
-    const int status = sodium_hex2bin(key.data(), key.size(), text.data(), text.size(),
-                                      nullptr, &read, nullptr);
-    if (status != 0 || read != key.size() || text.size() != 2 * key.size())
-    {
-        return boost::leaf::new_error(malformed_peer_key{});
-    }
-    return key;
+    seal(std::as_bytes(std::span(builder.GetBufferPointer(), builder.GetSize())), key,
+         out);
 }
 
 } // namespace kumquatpath
--- /dev/null
+++ b/src/entry/entry_daemon.cpp
@@ -0,0 +1,119 @@
+#include "entry_daemon.hpp"
+
+#include <kumquatpath/edge/log.hpp>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iterator>
+#include <random>
+#include <thread>
+
+namespace kumquatpath
+{
+namespace
+{
+
+constexpr std::size_t inbox_capacity = 256;
+
+std::uint64_t random_incarnation()
+{
+    std::random_device source;
+    return (static_cast<std::uint64_t>(source()) << 32U) | source();
+}
+
+} // namespace
+
+entry_daemon::entry_daemon(const entry_settings& settings, std::string settings_file,
+                           const entry_adapters& adapters)
+    : settings_file_(std::move(settings_file)),
+      packets_(settings, adapters.packets, random_incarnation(),
+               {.read = [this](const reading_order& order) { states_.order(order); },
+                .ask = [this](const ask_peer& order) { to_transfer_.send(order); },
+                .set_ready =
+                    [this](bool is_ready)
+                {
+                    https_.set_ready(is_ready);
+                }}),
+      from_state_(packets_.context(), inbox_capacity,
+                  [this](packet_input message) { packets_.handle(std::move(message)); }),
+      from_transfer_(packets_.context(), inbox_capacity,
+                     [this](packet_input message)
+                     { packets_.handle(std::move(message)); }),
+      from_http_(packets_.context(), inbox_capacity,
+                 [this](packet_input message) { packets_.handle(std::move(message)); }),
+      states_(adapters.state, static_cast<std::uint32_t>(hash_name(settings.name)),
+              [this](packet_input message) { from_state_.send(std::move(message)); }),
+      transfers_({.local = settings.peer,
+                  .key = settings.key,
+                  .self = id_of<instance_id>(settings.name),
+                  .read_configuration = adapters.read_configuration},
+                 [this](packet_input message)
+                 { from_transfer_.send(std::move(message)); }),
+      https_({.ready = settings.ready,
+              .ready_path = settings.ready_path,
+              .metrics = settings.metrics},
+             [this](packet_input message) { from_http_.send(std::move(message)); }),
+      to_transfer_(transfers_.context(), inbox_capacity,
+                   [this](const ask_peer& order) { transfers_.ask(order); }),
+      signals_(packets_.context(), SIGTERM, SIGINT, SIGHUP)
+{
+    wait_for_signal();
+}
+
+void entry_daemon::wait_for_signal()
+{
+    signals_.async_wait(
+        [this](const boost::system::error_code& failure, int signal)
+        {
+            if (failure)
+            {
+                return;
+            }
+            if (signal == SIGHUP)
+            {
+                reload();
+            }
+            else
+            {
+                packets_.handle(stop_was_asked{});
+            }
+            wait_for_signal();
+        });
+}
+
+void entry_daemon::reload()
+{
+    std::ifstream file(settings_file_, std::ios::binary);
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(settings, read_entry_settings(text));
+            packets_.handle(settings_were_read{.seeds = std::move(settings.seeds)});
+            return {};
+        },
+        [](const entry_settings_fault& fault)
+        {
+            log(log_level::error, "reload_refused",
+                {{"key", fault.key}, {"expected", fault.expected}});
+        },
+        [] { log(log_level::error, "reload_refused"); });
+}
+
+void entry_daemon::run()
+{
+    std::thread transfer_thread([this] { transfers_.run(); });
+    std::thread http_thread([this] { https_.run(); });
+    std::thread state_thread([this] { states_.run(); });
+    packets_.run();
+    transfers_.stop();
+    https_.stop();
+    states_.stop();
+    transfer_thread.join();
+    http_thread.join();
+    state_thread.join();
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/entry/entry_daemon.hpp
@@ -0,0 +1,62 @@
+#ifndef KUMQUATPATH_ENTRY_ENTRY_DAEMON_HPP
+#define KUMQUATPATH_ENTRY_ENTRY_DAEMON_HPP
+
+/// \file
+/// All duties of one entry instance, joined by their inboxes.
+
+#include "http_duty.hpp"
+#include "packet_duty.hpp"
+#include "state_duty.hpp"
+#include "transfer_duty.hpp"
+
+#include <kumquatpath/edge/inbox.hpp>
+
+#include <boost/asio/signal_set.hpp>
+
+#include <string>
+
+namespace kumquatpath
+{
+
+/// What a deployment provides: the form of its packets and where its state is kept.
+struct entry_adapters
+{
+    const packet_format& packets;
+    state_source& state;
+    configuration_reader read_configuration = nullptr;
+};
+
+/// Runs each duty on a thread of its own. The packet duty has the thread that calls
+/// run().
+///
+/// SIGTERM and SIGINT ask for a graceful stop; SIGHUP has the settings file read again.
+class entry_daemon
+{
+public:
+    /// Binds every port of \p settings, which were read from \p settings_file. Throws
+    /// boost::system::system_error if one cannot be bound.
+    entry_daemon(const entry_settings& settings, std::string settings_file,
+                 const entry_adapters& adapters);
+
+    /// Serves until a graceful stop has ended.
+    void run();
+
+private:
+    void wait_for_signal();
+    void reload();
+
+    std::string settings_file_;
+    packet_duty packets_;
+    inbox<packet_input> from_state_;
+    inbox<packet_input> from_transfer_;
+    inbox<packet_input> from_http_;
+    state_duty states_;
+    transfer_duty transfers_;
+    http_duty https_;
+    inbox<ask_peer> to_transfer_;
+    boost::asio::signal_set signals_;
+};
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/entry/http_duty.hpp
@@ -0,0 +1,58 @@
+#ifndef KUMQUATPATH_ENTRY_HTTP_DUTY_HPP
+#define KUMQUATPATH_ENTRY_HTTP_DUTY_HPP
+
+/// \file
+/// The duty that answers over HTTP: the fabric that asks for readiness, and operators.
+
+#include "messages.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <atomic>
+#include <functional>
+
+namespace kumquatpath
+{
+
+/// Where HTTP is answered.
+struct http_options
+{
+    endpoint ready;
+    std::string ready_path;
+    /// Serves /metrics.
+    endpoint metrics;
+};
+
+/// Answers GET requests. All but set_ready() and stop() belongs to the thread in run().
+class http_duty
+{
+public:
+    /// Binds the ports. Throws boost::system::system_error if that fails.
+    http_duty(const http_options& options, std::function<void(packet_input)> output);
+
+    /// Sets what the fabric is told; from any thread.
+    void set_ready(bool is_ready);
+
+    void run();
+
+    /// Ends run(); from any thread.
+    void stop();
+
+private:
+    struct session;
+
+    void accept(boost::asio::ip::tcp::acceptor& acceptor);
+
+    std::string ready_path_;
+    std::function<void(packet_input)> output_;
+    boost::asio::io_context context_{1};
+    boost::asio::ip::tcp::acceptor ready_acceptor_;
+    boost::asio::ip::tcp::acceptor metrics_acceptor_;
+    std::atomic<bool> is_ready_{false};
+    std::size_t open_sessions_ = 0;
+};
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/entry/metrics.cpp
@@ -0,0 +1,145 @@
+#include "metrics.hpp"
+
+#include <sstream>
+
+namespace kumquatpath
+{
+namespace
+{
+
+constexpr unsigned time_bins = 24;
+constexpr double least_time_ms = 0.5;
+constexpr double most_time_ms = 60'000;
+
+time_histogram make_times()
+{
+    return boost::histogram::make_histogram(
+        time_axis(time_bins, least_time_ms, most_time_ms));
+}
+
+double milliseconds_of(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
+void write_histogram(std::ostream& out, std::string_view name, std::string_view route,
+                     const time_histogram& times)
+{
+    double sum = 0;
+    for (auto&& bin : boost::histogram::indexed(times, boost::histogram::coverage::all))
+    {
+        sum += *bin;
+        out << name << "_bucket{route=\"" << route << "\",le=\"";
+        if (bin.bin().upper() > most_time_ms)
+        {
+            out << "+Inf";
+        }
+        else
+        {
+            out << bin.bin().upper();
+        }
+        out << "\"} " << sum << "\n";
+    }
+    out << name << "_count{route=\"" << route << "\"} " << sum << "\n";
+}
+
+void write_counter(std::ostream& out, std::string_view name, std::uint64_t value)
+{
+    out << "kumquatpath_" << name << " " << value << "\n";
+}
+
+void write_targets(std::ostream& out, const entry& self, time_point now)
+{
+    const auto& evidence = self.steering.choice.evidence;
+    for (std::size_t i = 0; i < evidence.size(); ++i)
+    {
+        const known_target& target = self.directory.targets[i];
+        if (!target.is_used)
+        {
+            continue;
+        }
+        out << "kumquatpath_target{target=\"" << std::hex << target.record.key.value
+            << std::dec << "\",takes_flows=\"" << takes_new_flows(target, now)
+            << "\",suspect=\"" << is_suspect(evidence[i]) << "\"} " << evidence[i].busy
+            << "\n";
+    }
+}
+
+} // namespace
+
+void add_times(entry_metrics& metrics, std::string_view name,
+               const steering_decision& decision)
+{
+    auto found = metrics.times.find(name);
+    if (found == metrics.times.end())
+    {
+        if (metrics.times.size() >= most_timed_routes)
+        {
+            return;
+        }
+        found = metrics.times
+                    .emplace(std::string(name),
+                             flow_times{.openings = make_times(), .flows = make_times()})
+                    .first;
+    }
+    if (decision.opening_time)
+    {
+        found->second.openings(milliseconds_of(*decision.opening_time));
+    }
+    if (decision.flow_time)
+    {
+        found->second.flows(milliseconds_of(*decision.flow_time));
+    }
+}
+
+std::string_view to_string(steering_verdict verdict) noexcept
+{
+    switch (verdict)
+    {
+    case steering_verdict::forward:
+        return "forwarded";
+    case steering_verdict::no_route:
+        return "no_route";
+    case steering_verdict::no_target:
+        return "no_target";
+    case steering_verdict::unknown_token:
+        break;
+    }
+    return "unknown_token";
+}
+
+std::string metrics_page(const entry_metrics& metrics, const entry& self, time_point now)
+{
+    std::ostringstream out;
+    for (std::size_t i = 0; i < metrics.verdicts.size(); ++i)
+    {
+        out << "kumquatpath_packets{verdict=\""
+            << to_string(static_cast<steering_verdict>(i)) << "\"} "
+            << metrics.verdicts[i] << "\n";
+    }
+    write_counter(out, "packets_malformed", metrics.packets_malformed);
+    write_counter(out, "flows_placed", metrics.flows_placed);
+    write_counter(out, "openings_moved", metrics.openings_moved);
+    write_counter(out, "peer_messages_refused", metrics.peer_messages_refused);
+    write_counter(out, "control_bytes_sent", metrics.control_bytes_sent);
+    write_counter(out, "readings", metrics.readings);
+    write_counter(out, "readings_failed", metrics.readings_failed);
+    write_counter(out, "log_lines_held_back", metrics.log_lines_held_back);
+    write_counter(out, "flows_remembered", self.steering.flows.size());
+    write_counter(out, "peers", self.fleet.peers.size());
+    write_counter(out, "state_position", self.directory.position.value);
+    write_counter(out, "configuration",
+                  self.configuration.table ? self.configuration.table->generation.value
+                                           : 0);
+    write_counter(out, "state_age_ms",
+                  static_cast<std::uint64_t>(state_age(self, now).count()));
+    write_targets(out, self, now);
+    for (const auto& [route, times] : metrics.times)
+    {
+        write_histogram(out, "kumquatpath_opening_ms", route, times.openings);
+        write_histogram(out, "kumquatpath_flow_ms", route, times.flows);
+    }
+    return out.str();
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/entry/metrics.hpp
@@ -0,0 +1,61 @@
+#ifndef KUMQUATPATH_ENTRY_METRICS_HPP
+#define KUMQUATPATH_ENTRY_METRICS_HPP
+
+/// \file
+/// What an entry instance counts and times, and the page that shows it.
+
+#include <kumquatpath/decision/entry.hpp>
+
+#include <boost/histogram.hpp>
+
+#include <array>
+#include <map>
+#include <string>
+
+namespace kumquatpath
+{
+
+/// Times in milliseconds, in bins of equal ratio.
+using time_axis =
+    boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using time_histogram =
+    decltype(boost::histogram::make_histogram(std::declval<time_axis>()));
+
+/// The times of one class of flows: those of one listener.
+struct flow_times
+{
+    time_histogram openings;
+    time_histogram flows;
+};
+
+/// The counters and histograms of one instance.
+struct entry_metrics
+{
+    std::array<std::uint64_t, steering_verdict_count> verdicts{};
+    std::uint64_t packets_malformed = 0;
+    std::uint64_t flows_placed = 0;
+    std::uint64_t openings_moved = 0;
+    std::uint64_t peer_messages_refused = 0;
+    std::uint64_t control_bytes_sent = 0;
+    std::uint64_t readings = 0;
+    std::uint64_t readings_failed = 0;
+    std::uint64_t log_lines_held_back = 0;
+    /// By the name of the route; at most most_timed_routes.
+    std::map<std::string, flow_times, std::less<>> times;
+};
+
+inline constexpr std::size_t most_timed_routes = 64;
+
+/// Adds what \p decision tells of the times of \p name's flows.
+void add_times(entry_metrics& metrics, std::string_view name,
+               const steering_decision& decision);
+
+/// Returns the name of \p verdict, as metrics and logs print it.
+std::string_view to_string(steering_verdict verdict) noexcept;
+
+/// Returns the page that shows \p metrics and the state of \p self, as text.
+std::string metrics_page(const entry_metrics& metrics, const entry& self, time_point now);
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/entry/packet_duty.cpp
@@ -0,0 +1,470 @@
+#include "packet_duty.hpp"
+
+#include <kumquatpath/edge/clock.hpp>
+#include <kumquatpath/edge/fleet_codec.hpp>
+#include <kumquatpath/edge/log.hpp>
+
+#include <algorithm>
+
+namespace kumquatpath
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds tick_interval{25};
+/// How often peers of the own data centre are told of the loads.
+constexpr duration home_beat_interval = std::chrono::milliseconds(100);
+/// How often other peers get a sign of life.
+constexpr duration far_beat_interval = std::chrono::milliseconds(400);
+constexpr duration seeds_interval = std::chrono::milliseconds(500);
+/// The longest datagram between a caller and this instance, without what goes before it.
+constexpr std::size_t most_lines_a_second = 200;
+
+entry make_self(const entry_settings& settings, std::uint64_t start)
+{
+    return make_entry({.self = id_of<instance_id>(settings.name),
+                       .home = id_of<data_centre_id>(settings.data_centre),
+                       .address = settings.peer,
+                       .incarnation = start,
+                       .started_at = monotonic_now()});
+}
+
+std::string_view to_string(state_failure failure)
+{
+    switch (failure)
+    {
+    case state_failure::unreachable:
+        return "unreachable";
+    case state_failure::refused:
+        return "refused";
+    case state_failure::history_lost:
+        return "history_lost";
+    case state_failure::malformed:
+        return "malformed";
+    case state_failure::cancelled:
+        break;
+    }
+    return "cancelled";
+}
+
+std::string flow_name(const flow_packet& packet)
+{
+    return to_string(packet.caller) + ">" + to_string(packet.listener);
+}
+
+} // namespace
+
+packet_duty::packet_duty(const entry_settings& settings, const packet_format& format,
+                         std::uint64_t start, packet_duty_outputs outputs)
+    : settings_(settings), format_(format), outputs_(std::move(outputs)),
+      data_(context_, settings.data, longest_forward),
+      peers_(context_, settings.peer, longest_fleet_datagram), timer_(context_),
+      self_(make_self(settings, start)), scratch_(longest_forward)
+{
+    data_.on_readable([this] { receive_packets(); });
+    peers_.on_readable([this] { receive_beats(); });
+}
+
+boost::asio::io_context& packet_duty::context()
+{
+    return context_;
+}
+
+void packet_duty::run()
+{
+    tick_now(monotonic_now());
+    wait_for_tick();
+    context_.run();
+}
+
+void packet_duty::handle(packet_input message)
+{
+    std::visit([this](auto&& each) { take(std::forward<decltype(each)>(each)); },
+               std::move(message));
+}
+
+void packet_duty::take(state_was_read&& message)
+{
+    const time_point now = monotonic_now();
+    ++metrics_.readings;
+    if (is_source_lost_)
+    {
+        is_source_lost_ = false;
+        log(log_level::info, "state_source_regained",
+            {{"position", message.state.position.value}});
+    }
+    const bool is_newer = message.state.configuration &&
+                          take_configuration(self_, *message.state.configuration);
+    const state_outcome outcome =
+        message.is_whole
+            ? take_listing(self_, message.state.targets, message.state.position, now)
+            : take_changes(self_, message.state.targets, message.state.position, now);
+    note_reading(self_, message.as_of, now);
+    note_state(message.is_whole ? "listing" : "changes", outcome, is_newer, now);
+}
+
+void packet_duty::take(reading_failed&& message)
+{
+    ++metrics_.readings_failed;
+    if (!is_source_lost_ && message.failure != state_failure::cancelled)
+    {
+        is_source_lost_ = true;
+        const auto age = state_age(self_, monotonic_now());
+        log(log_level::warning, "state_source_lost",
+            {{"failure", to_string(message.failure)}, {"state_age_ms", age.count()}});
+    }
+}
+
+void packet_duty::take(state_was_told&& message)
+{
+    const time_point now = monotonic_now();
+    bool is_newer = false;
+    if (message.table)
+    {
+        is_newer =
+            take_configuration(self_, {.revision = message.reply.configuration,
+                                       .text = std::make_shared<const std::string>(
+                                           std::move(message.reply.configuration_text)),
+                                       .table = message.table});
+    }
+    const state_outcome outcome =
+        take_changes(self_, message.reply.targets, message.reply.position, now);
+    note_state("peer", outcome, is_newer, now);
+}
+
+void packet_duty::take(asking_ended&& /*message*/)
+{
+    is_asking_ = false;
+}
+
+void packet_duty::take(state_was_asked&& message)
+{
+    message.answer(reply_to(self_, message.request));
+}
+
+void packet_duty::take(page_was_asked&& message)
+{
+    message.answer(metrics_page(metrics_, self_, monotonic_now()));
+}
+
+void packet_duty::take(stop_was_asked&& /*message*/)
+{
+    if (self_.leaving_since)
+    {
+        return;
+    }
+    const time_point now = monotonic_now();
+    self_.leaving_since = now;
+    outputs_.set_ready(false);
+    log(log_level::info, "leaving", {{"flows", self_.steering.flows.size()}});
+    send_beats(now);
+}
+
+void packet_duty::take(settings_were_read&& message)
+{
+    settings_.seeds = std::move(message.seeds);
+    log(log_level::info, "reloaded", {{"seeds", settings_.seeds.size()}});
+}
+
+void packet_duty::note_state(std::string_view from, const state_outcome& outcome,
+                             bool is_configuration_new, time_point now)
+{
+    const auto position = self_.directory.position.value;
+    if (is_configuration_new)
+    {
+        log(log_level::info, "configuration_in_force",
+            {{"from", from},
+             {"generation", self_.configuration.table->generation.value},
+             {"revision", self_.configuration.revision.value},
+             {"routes", self_.configuration.table->routes.size()}});
+    }
+    if (outcome.targets_changed > 0)
+    {
+        log(log_level::info, "targets_changed",
+            {{"from", from},
+             {"changes", outcome.targets_changed},
+             {"position", position},
+             {"age_ms", state_age(self_, now).count()}});
+    }
+    outputs_.set_ready(is_ready(self_));
+    if (outcome.targets_changed > 0 || is_configuration_new)
+    {
+        next_home_beat_ = now;
+        next_far_beat_ = now;
+        send_beats(now);
+    }
+}
+
+void packet_duty::receive_packets()
+{
+    const time_point now = monotonic_now();
+    auto batch = data_.receive();
+    while (!batch.empty())
+    {
+        for (const received_datagram& each : batch)
+        {
+            steer_packet(each.bytes, now);
+        }
+        data_.flush();
+        batch = data_.receive();
+    }
+}
+
+void packet_duty::steer_packet(payload_view datagram, time_point now)
+{
+    const auto packet = format_.read(datagram);
+    if (!packet || self_.configuration.table == nullptr)
+    {
+        ++metrics_.packets_malformed;
+        return;
+    }
+    self_.last_packet_at = now;
+    const routing_table& table = *self_.configuration.table;
+    const steering_decision decision =
+        steer(self_.steering, table, self_.directory, *packet, now);
+    ++metrics_.verdicts[static_cast<std::size_t>(decision.verdict)];
+    if (decision.verdict == steering_verdict::forward)
+    {
+        const target_record& target = self_.directory.targets[decision.target].record;
+        const std::size_t size =
+            format_.write_forward(datagram, target, decision.token, scratch_);
+        data_.queue(target.address, payload_view(scratch_).first(size));
+    }
+    if (decision.opening_time || decision.flow_time)
+    {
+        const route* const found = find_route(table, packet->listener);
+        add_times(metrics_, found == nullptr ? "" : found->name, decision);
+    }
+    if (decision.is_placement || decision.verdict != steering_verdict::forward)
+    {
+        log_placement(*packet, decision, now);
+    }
+}
+
+bool packet_duty::may_log(time_point now)
+{
+    if (now >= log_refill_)
+    {
+        log_refill_ = now + std::chrono::seconds(1);
+        log_allowance_ = most_lines_a_second;
+        if (metrics_.log_lines_held_back > logged_held_back_)
+        {
+            log(log_level::warning, "lines_held_back",
+                {{"lines", metrics_.log_lines_held_back - logged_held_back_}});
+            logged_held_back_ = metrics_.log_lines_held_back;
+        }
+    }
+    if (log_allowance_ == 0)
+    {
+        ++metrics_.log_lines_held_back;
+        return false;
+    }
+    --log_allowance_;
+    return true;
+}
+
+void packet_duty::log_placement(const flow_packet& packet,
+                                const steering_decision& decision, time_point now)
+{
+    metrics_.flows_placed += decision.is_placement ? 1U : 0U;
+    if (!may_log(now))
+    {
+        return;
+    }
+    boost::json::object fields = {
+        {"flow", flow_name(packet)},
+        {"outcome", to_string(decision.verdict)},
+        {"generation", self_.configuration.table->generation.value},
+        {"position", self_.directory.position.value},
+        {"state_age_ms", state_age(self_, now).count()}};
+    if (decision.verdict == steering_verdict::unknown_token)
+    {
+        fields["token"] = packet.token.value;
+    }
+    if (decision.verdict == steering_verdict::forward)
+    {
+        const target_evidence& evidence = self_.steering.choice.evidence[decision.target];
+        fields["target"] =
+            to_string(self_.directory.targets[decision.target].record.address);
+        fields["busy"] = evidence.busy;
+        fields["peers_busy"] = evidence.peers_busy;
+        fields["overdue"] = evidence.overdue;
+    }
+    log(log_level::info, "flow_placed", std::move(fields));
+}
+
+void packet_duty::receive_beats()
+{
+    const time_point now = monotonic_now();
+    auto batch = peers_.receive();
+    while (!batch.empty())
+    {
+        for (const received_datagram& each : batch)
+        {
+            hear(each.bytes, each.source, now);
+        }
+        batch = peers_.receive();
+    }
+    peers_.flush();
+    follow_state(now);
+}
+
+void packet_duty::hear(payload_view datagram, const endpoint& source, time_point now)
+{
+    const auto message = decode_fleet(datagram, settings_.key, longest_fleet_datagram);
+    const auto* const beat = message ? std::get_if<fleet_beat>(&message->body) : nullptr;
+    if (beat == nullptr || beat->address.address != source.address)
+    {
+        ++metrics_.peer_messages_refused;
+        return;
+    }
+    const beat_outcome outcome = take_beat(self_, *message, *beat, now);
+    if (outcome.is_new)
+    {
+        log(log_level::info, "peer_heard",
+            {{"peer", to_string(beat->address)}, {"position", beat->position.value}});
+        send_beat(beat->address, false, now);
+    }
+}
+
+void packet_duty::wait_for_tick()
+{
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& failure)
+        {
+            if (failure)
+            {
+                return;
+            }
+            const time_point now = monotonic_now();
+            tick_now(now);
+            if (may_end(self_, now))
+            {
+                context_.stop();
+                return;
+            }
+            wait_for_tick();
+        });
+}
+
+void packet_duty::tick_now(time_point now)
+{
+    tick(self_, now);
+    send_beats(now);
+    find_seeds(now);
+    watch_targets(now);
+    const bool is_reading = decide_reading(self_.fleet, self_.directory.position, now);
+    if (is_reading != was_reading_)
+    {
+        was_reading_ = is_reading;
+        log(log_level::info, is_reading ? "reading_started" : "reading_ended",
+            {{"state_age_ms", state_age(self_, now).count()},
+             {"peers", self_.fleet.peers.size()}});
+    }
+    outputs_.read({.is_wanted = is_reading, .position = self_.directory.position});
+    follow_state(now);
+}
+
+void packet_duty::send_beats(time_point now)
+{
+    const bool is_home_due = now >= next_home_beat_;
+    const bool is_far_due = now >= next_far_beat_;
+    if (is_home_due)
+    {
+        next_home_beat_ = now + home_beat_interval;
+    }
+    if (is_far_due)
+    {
+        next_far_beat_ = now + far_beat_interval;
+    }
+    for (const auto& [instance, peer] : self_.fleet.peers)
+    {
+        const bool is_home = peer.data_centre == self_.fleet.home;
+        if (is_home ? is_home_due : is_far_due)
+        {
+            send_beat(peer.address, is_home, now);
+        }
+    }
+    peers_.flush();
+}
+
+void packet_duty::send_beat(const endpoint& to, bool has_loads, time_point now)
+{
+    ++self_.beats_sent;
+    const fleet_message message{.sender = self_.fleet.self,
+                                .sequence = self_.beats_sent,
+                                .body = make_beat(self_, has_loads, now)};
+    const std::vector<std::byte> bytes = encode_fleet(message, settings_.key);
+    metrics_.control_bytes_sent += bytes.size();
+    peers_.queue(to, bytes);
+}
+
+void packet_duty::find_seeds(time_point now)
+{
+    if (now < next_seeds_)
+    {
+        return;
+    }
+    next_seeds_ = now + seeds_interval;
+    for (const endpoint& each : settings_.seeds)
+    {
+        const endpoint seed{.address = each.address, .port = settings_.peer.port};
+        const bool is_known =
+            seed.address == settings_.peer.address ||
+            std::any_of(self_.fleet.peers.begin(), self_.fleet.peers.end(),
+                        [&](const auto& peer) { return peer.second.address == seed; });
+        if (!is_known)
+        {
+            send_beat(seed, false, now);
+        }
+    }
+    for (const fleet_member& each : self_.fleet.strangers)
+    {
+        send_beat(each.address, false, now);
+    }
+    self_.fleet.strangers.clear();
+    peers_.flush();
+}
+
+void packet_duty::follow_state(time_point now)
+{
+    if (is_asking_)
+    {
+        return;
+    }
+    const fleet_peer* const teller = better_informed(
+        self_.fleet, self_.directory.position, self_.configuration.revision, now);
+    if (teller == nullptr)
+    {
+        return;
+    }
+    is_asking_ = true;
+    outputs_.ask({.peer = teller->address,
+                  .instance = teller->instance,
+                  .request = {.position = self_.directory.position,
+                              .configuration = self_.configuration.revision}});
+}
+
+void packet_duty::watch_targets(time_point now)
+{
+    const auto& evidence = self_.steering.choice.evidence;
+    were_suspect_.resize(evidence.size(), false);
+    for (std::size_t i = 0; i < evidence.size(); ++i)
+    {
+        const bool is_now = is_suspect(evidence[i]);
+        if (is_now == were_suspect_[i])
+        {
+            continue;
+        }
+        were_suspect_[i] = is_now;
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - evidence[i].answered_opening);
+        log(log_level::warning, is_now ? "target_suspect" : "target_trusted",
+            {{"target", to_string(self_.directory.targets[i].record.address)},
+             {"overdue", evidence[i].overdue},
+             {"last_answer_age_ms", age.count()}});
+    }
+}
+
+} // namespace kumquatpath
--- /dev/null
+++ b/src/entry/packet_duty.hpp
@@ -0,0 +1,101 @@
+#ifndef KUMQUATPATH_ENTRY_PACKET_DUTY_HPP
+#define KUMQUATPATH_ENTRY_PACKET_DUTY_HPP
+
+/// \file
+/// The duty that steers callers' packets, hears peers and owns the state of the instance.
+
+#include "messages.hpp"
+#include "metrics.hpp"
+#include "settings.hpp"
+#include "state_duty.hpp"
+
+#include <kumquatpath/decision/entry.hpp>
+#include <kumquatpath/edge/packet_format.hpp>
+#include <kumquatpath/edge/udp_port.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace kumquatpath
+{
+
+/// Where the packet duty sends what other duties must know. Each function is called on
+/// the packet duty's thread and must not wait.
+struct packet_duty_outputs
+{
+    std::function<void(const reading_order&)> read;
+    std::function<void(const ask_peer&)> ask;
+    std::function<void(bool)> set_ready;
+};
+
+/// Owns the UDP ports and the entry. All of it belongs to the thread in run().
+class packet_duty
+{
+public:
+    /// Binds the ports. Throws boost::system::system_error if that fails.
+    packet_duty(const entry_settings& settings, const packet_format& format,
+                std::uint64_t start, packet_duty_outputs outputs);
+
+    /// Returns the context whose thread this duty is.
+    boost::asio::io_context& context();
+
+    /// Takes a message of another duty.
+    void handle(packet_input message);
+
+    /// Serves until a graceful stop has ended.
+    void run();
+
+private:
+    void take(state_was_read&& message);
+    void take(reading_failed&& message);
+    void take(state_was_told&& message);
+    void take(asking_ended&& message);
+    void take(state_was_asked&& message);
+    void take(page_was_asked&& message);
+    void take(stop_was_asked&& message);
+    void take(settings_were_read&& message);
+
+    void receive_packets();
+    void steer_packet(payload_view datagram, time_point now);
+    void log_placement(const flow_packet& packet, const steering_decision& decision,
+                       time_point now);
+    bool may_log(time_point now);
+    void receive_beats();
+    void hear(payload_view datagram, const endpoint& source, time_point now);
+    void note_state(std::string_view from, const state_outcome& outcome,
+                    bool is_configuration_new, time_point now);
+    void wait_for_tick();
+    void tick_now(time_point now);
+    void send_beats(time_point now);
+    void send_beat(const endpoint& to, bool has_loads, time_point now);
+    void find_seeds(time_point now);
+    void follow_state(time_point now);
+    void watch_targets(time_point now);
+
+    entry_settings settings_;
+    const packet_format& format_;
+    packet_duty_outputs outputs_;
+    boost::asio::io_context context_{1};
+    udp_port data_;
+    udp_port peers_;
+    boost::asio::steady_timer timer_;
+    entry self_;
+    entry_metrics metrics_;
+    std::vector<std::byte> scratch_;
+    std::vector<bool> were_suspect_;
+    bool is_asking_ = false;
+    bool was_reading_ = false;
+    bool is_source_lost_ = false;
+    time_point next_home_beat_;
+    time_point next_far_beat_;
+    time_point next_seeds_;
+    time_point log_refill_;
+    std::uint32_t log_allowance_ = 0;
+    std::uint64_t logged_held_back_ = 0;
+};
+
+} // namespace kumquatpath
+
+#endif
--- /dev/null
+++ b/src/entry/settings.cpp
@@ -0,0 +1,118 @@
+#include "settings.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+
+#include <algorithm>
+#include <iterator>
+
+namespace kumquatpath
+{
+namespace
+{
+
+namespace json = boost::json;
+namespace leaf = boost::leaf;
+
+constexpr std::string_view known_keys[] = {
+    "name",    "data_centre", "data",     "ready", "ready_path",
+    "metrics", "peer",        "peer_key", "seeds", "state"};
+
+leaf::result<std::string> text_of(const json::object& object, std::string_view key)
+{
+    const json::value* const found = object.if_contains(key);
+    if (found == nullptr || !found->is_string() || found->get_string().empty())
+    {
+        return leaf::new_error(
+            entry_settings_fault{std::string(key), "a string that is not empty"});
+    }
+    return std::string(found->get_string());
+}
+
+leaf::result<endpoint> endpoint_of(const json::object& object, std::string_view key)
+{
+    BOOST_LEAF_AUTO(text, text_of(object, key));
+    auto parsed = parse_endpoint(text);
+    if (!parsed)
+    {
+        return leaf::new_error(
+            entry_settings_fault{std::string(key), "\"a.b.c.d:port\""});
+    }
+    return *parsed;
+}
+
+leaf::result<std::vector<endpoint>> seeds_of(const json::object& object)
+{
+    const entry_settings_fault fault{"seeds", "a list of \"a.b.c.d:port\""};
+    const json::value* const found = object.if_contains("seeds");
+    if (found == nullptr || !found->is_array())
+    {
+        return leaf::new_error(fault);
+    }
+    std::vector<endpoint> seeds;
+    for (const json::value& each : found->get_array())
+    {
+        auto parsed = each.is_string() ? parse_endpoint(std::string(each.get_string()))
+                                       : parse_endpoint("");
+        if (!parsed)
+        {
+            return leaf::new_error(fault);
+        }
+        seeds.push_back(*parsed);
+    }
+    return seeds;
+}
+
+leaf::result<peer_key> key_of(const json::object& object)
+{
+    BOOST_LEAF_AUTO(text, text_of(object, "peer_key"));
+    auto key = parse_peer_key(text);
+    if (!key)
+    {
+        return leaf::new_error(entry_settings_fault{"peer_key", "64 hexadecimal digits"});
+    }
+    return *key;
+}
+
+leaf::result<void> refuse_unknown_keys(const json::object& object)
+{
+    for (const auto& [key, value] : object)
+    {
+        if (std::find(std::begin(known_keys), std::end(known_keys),
+                      std::string_view(key)) == std::end(known_keys))
+        {
+            return leaf::new_error(entry_settings_fault{
+                std::string(key), "no such key; see docs/SETTINGS.md"});
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+leaf::result<entry_settings> read_entry_settings(std::string_view text)
+{
+    boost::system::error_code failure;
+    const json::value parsed =
+        json::parse(json::string_view(text.data(), text.size()), failure);
+    if (failure || !parsed.is_object())
+    {
+        return leaf::new_error(entry_settings_fault{"", "a JSON object"});
+    }
+    const json::object& object = parsed.get_object();
+    entry_settings settings;
+    BOOST_LEAF_CHECK(refuse_unknown_keys(object));
+    BOOST_LEAF_ASSIGN(settings.name, text_of(object, "name"));
+    BOOST_LEAF_ASSIGN(settings.data_centre, text_of(object, "data_centre"));
+    BOOST_LEAF_ASSIGN(settings.data, endpoint_of(object, "data"));
+    BOOST_LEAF_ASSIGN(settings.ready, endpoint_of(object, "ready"));
+    BOOST_LEAF_ASSIGN(settings.ready_path, text_of(object, "ready_path"));
+    BOOST_LEAF_ASSIGN(settings.metrics, endpoint_of(object, "metrics"));
+    BOOST_LEAF_ASSIGN(settings.peer, endpoint_of(object, "peer"));
+    BOOST_LEAF_ASSIGN(settings.key, key_of(object));
+    BOOST_LEAF_ASSIGN(settings.seeds, seeds_of(object));
+    BOOST_LEAF_ASSIGN(settings.state, endpoint_of(object, "state"));
+    return settings;
+}
+
+} // namespace kumquatpath
