--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -18,7 +18,7 @@
 /// How long an instance goes on reading that began because of a stale state.
 constexpr duration reading_term = std::chrono::seconds(5);
 /// How long an instance without any state waits for a peer to have one.
-constexpr duration patience_at_start = std::chrono::milliseconds(60);
+constexpr duration patience_at_start = std::chrono::milliseconds(0);
 constexpr std::size_t most_strangers = 64;
 
 bool is_newer(const state_freshness& left, const state_freshness& right)
