Try suspect targets of a data centre one at a time, and rarely

Ruled out: health checks (priced) and copies to two targets (both may answer). Change: trials are dealt per data centre with a pause that doubles to 2.8 s; a data centre with three overdue openings and no later answer is suspect whole.

--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -38,6 +38,8 @@
     flow_token token;
     /// The packet opens the flow.
     bool is_opening = false;
+    /// How long ago the caller first sent this opening.
+    duration age{0};
     /// The caller ends the flow, with or without ceremony.
     bool is_end = false;
     bool has_payload = false;
@@ -50,10 +52,12 @@
     no_route,
     no_target,
     unknown_token,
+    /// Every target has as much as it can work on: the opening waits for one.
+    wait,
 };
 
 /// How many verdicts there are.
-inline constexpr std::size_t steering_verdict_count = 4;
+inline constexpr std::size_t steering_verdict_count = 5;
 
 /// A verdict, and for steering_verdict::forward the place to send to.
 struct steering_decision
--- a/include/kumquatpath/decision/target_choice.hpp
+++ b/include/kumquatpath/decision/target_choice.hpp
@@ -26,18 +26,29 @@
     std::uint32_t busy = 0;
     /// The same of all peers, as last told.
     std::uint32_t peers_busy = 0;
-    /// Openings that nobody has answered yet.
-    std::uint32_t unanswered = 0;
     /// When the newest opening that was answered had been sent.
     time_point answered_opening;
-    /// When the target was last passed a trial flow while suspect.
-    time_point last_trial;
     /// Openings sent after the last answered one that are overdue.
     std::uint32_t overdue = 0;
+    /// When it was last passed a trial flow.
+    time_point last_trial;
     /// Smoothed time from the opening's answer to the flow's end; 0: none seen.
     double service_ms = 0;
 };
 
+/// What is seen of all targets of one data centre together: a cut shows there first.
+struct data_centre_evidence
+{
+    /// When the newest opening that one of them answered had been sent.
+    time_point answered_opening;
+    /// Openings sent after that one that are overdue.
+    std::uint32_t overdue = 0;
+    /// When one of its suspect targets may be passed the next trial flow, and how long after
+    /// that the one that follows.
+    time_point next_trial;
+    duration trial_interval{0};
+};
+
 /// What an instance knows of the targets' state; places are those of the directory.
 struct target_choice
 {
@@ -46,12 +57,17 @@
     double opening_ms = 0;
     /// The data centre of this instance.
     data_centre_id home;
+    boost::unordered_flat_map<data_centre_id, data_centre_evidence,
+                              std::hash<data_centre_id>>
+        data_centres;
 };
 
 /// Where a new flow may go.
 struct choice_request
 {
     service_id service;
+    /// Only targets that would work on it soon.
+    bool is_patient = false;
     /// A target that did not answer this flow's opening, or none.
     const target_index* avoided = nullptr;
     /// Uniform random bits; they break ties.
@@ -60,7 +76,8 @@
 
 // Queries.
 
-/// Returns the target for a new flow, or null if none takes flows.
+/// Returns the target for a new flow, or null if none takes flows or, for a patient
+/// request, all that do are full.
 const target_index* choose_target(target_choice& choice,
                                   const target_directory& directory,
                                   const choice_request& request, time_point now);
@@ -77,12 +94,13 @@
 target_evidence& evidence_of(target_choice& choice, const target_directory& directory,
                              target_index place);
 
-/// Notes that an opening which was sent at \p sent was answered by \p now.
-void note_answered(target_choice& choice, target_evidence& target, time_point sent,
-                   time_point now);
+/// Notes that the target at \p place has answered an opening that was sent at \p sent.
+void note_answered(target_choice& choice, const target_directory& directory,
+                   target_index place, time_point sent, time_point now);
 
-/// Notes that the opening sent at \p sent is overdue.
-void note_overdue(target_evidence& target, time_point sent);
+/// Notes that the opening sent to the target at \p place at \p sent is overdue.
+void note_overdue(target_choice& choice, const target_directory& directory,
+                  target_index place, time_point sent);
 
 /// Notes how long a flow took from its opening's answer to its end.
 void note_served(target_evidence& target, duration time);
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -168,8 +168,7 @@
     }
     flow.is_answered = true;
     flow.answered_at = now;
-    target_evidence& evidence = evidence_of(steering.choice, directory, by);
-    note_answered(steering.choice, evidence, flow.placed_at, now);
+    note_answered(steering.choice, directory, by, flow.placed_at, now);
 }
 
 void note_packet(flow_steering& steering, const target_directory& directory,
@@ -191,10 +190,11 @@
 void review_opening(flow_steering& steering, const target_directory& directory,
                     const seen_flow& flow)
 {
-    target_evidence& evidence = evidence_of(steering.choice, directory, flow.target);
+    const target_evidence& evidence =
+        evidence_of(steering.choice, directory, flow.target);
     if (!flow.is_answered && evidence.key == flow.key)
     {
-        note_overdue(evidence, flow.placed_at);
+        note_overdue(steering.choice, directory, flow.target, flow.placed_at);
     }
 }
 
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -15,7 +15,11 @@
 constexpr double patience_in_openings = 4;
 /// Overdue openings from which on a target is passed over.
 constexpr std::uint32_t overdue_to_suspect = 2;
-constexpr duration trial_interval = std::chrono::milliseconds(700);
+constexpr std::uint32_t overdue_to_suspect_data_centre = 3;
+constexpr duration least_trial_interval = std::chrono::milliseconds(700);
+constexpr duration most_trial_interval = std::chrono::milliseconds(2800);
+/// Flows in a target's care, by its slots, from which on it is full.
+constexpr std::uint32_t full_by_slots = 2;
 /// What a way to another data centre counts, in shares of a target's slots.
 constexpr double remote_cost = 0.34;
 /// How much longer a target takes that has just started.
@@ -81,9 +85,34 @@
     return static_cast<double>(mix(bits, place) >> 32U) * scale;
 }
 
-bool is_trial_due(const target_evidence& evidence, time_point now)
+bool is_data_centre_suspect(const target_choice& choice, data_centre_id of)
 {
-    return now >= evidence.last_trial + trial_interval;
+    const auto found = choice.data_centres.find(of);
+    return found != choice.data_centres.end() &&
+           found->second.overdue >= overdue_to_suspect_data_centre;
+}
+
+/// A trial flow may be lost, so the suspect targets of a data centre get them one at a time,
+/// and more and more rarely while none is answered.
+bool is_trial_due(target_choice& choice, data_centre_id of, time_point now)
+{
+    return now >= choice.data_centres[of].next_trial;
+}
+
+void note_trial(target_choice& choice, data_centre_id of, target_evidence& target,
+                time_point now)
+{
+    data_centre_evidence& all = choice.data_centres[of];
+    all.trial_interval =
+        std::clamp(2 * all.trial_interval, least_trial_interval, most_trial_interval);
+    all.next_trial = now + all.trial_interval;
+    target.last_trial = now;
+}
+
+bool is_full(const known_target& target, const target_evidence& evidence)
+{
+    return evidence.busy + evidence.peers_busy >=
+           full_by_slots * std::max(1U, target.record.slots);
 }
 
 } // namespace
@@ -123,8 +152,7 @@
     return evidence;
 }
 
-const target_index* choose_target(target_choice& choice,
-                                  const target_directory& directory,
+const target_index* choose_target(target_choice& choice, const target_directory& directory,
                                   const choice_request& request, time_point now)
 {
     constexpr double tie_breadth = 0.05;
@@ -132,6 +160,8 @@
     const std::span<const target_index> places = targets_of(directory, request.service);
     const double mean_ms = mean_service_ms(choice, places);
     const target_index* best = nullptr;
+    const target_index* trial = nullptr;
+    bool has_full = false;
     double best_cost = std::numeric_limits<double>::max();
     for (const target_index& place : places)
     {
@@ -140,49 +170,81 @@
         {
             continue;
         }
-        target_evidence& evidence = evidence_of(choice, directory, place);
-        double cost = cost_of(choice, target, evidence, mean_ms, now) +
-                      tie_breadth * jitter(request.random, place);
-        if (request.avoided != nullptr && *request.avoided == place)
+        const target_evidence& evidence = evidence_of(choice, directory, place);
+        const bool is_avoided = request.avoided != nullptr && *request.avoided == place;
+        const bool is_doubtful =
+            is_suspect(evidence) ||
+            is_data_centre_suspect(choice, target.record.data_centre);
+        if (request.is_patient && !is_doubtful && !is_avoided && is_full(target, evidence))
         {
-            cost += 2 * suspect_cost;
+            has_full = true;
+            continue;
         }
-        else if (is_suspect(evidence))
+        if (is_doubtful && is_trial_due(choice, target.record.data_centre, now) &&
+            (trial == nullptr ||
+             evidence.last_trial < choice.evidence[*trial].last_trial))
         {
-            if (request.avoided == nullptr && is_trial_due(evidence, now))
-            {
-                evidence.last_trial = now;
-                return &place;
-            }
-            cost += suspect_cost;
+            trial = &place;
         }
+        const double cost = cost_of(choice, target, evidence, mean_ms, now) +
+                            tie_breadth * jitter(request.random, place) +
+                            (is_avoided ? 2 * suspect_cost : 0) +
+                            (is_doubtful ? suspect_cost : 0);
         if (cost < best_cost)
         {
             best_cost = cost;
             best = &place;
         }
     }
-    return best;
+    if (trial != nullptr && request.avoided == nullptr)
+    {
+        note_trial(choice, directory.targets[*trial].record.data_centre,
+                   choice.evidence[*trial], now);
+        return trial;
+    }
+    const bool is_only_doubtful = best_cost >= suspect_cost;
+    return has_full && is_only_doubtful ? nullptr : best;
 }
 
-void note_answered(target_choice& choice, target_evidence& target, time_point sent,
-                   time_point now)
+void note_answered(target_choice& choice, const target_directory& directory,
+                   target_index place, time_point sent, time_point now)
 {
     choice.opening_ms =
         smoothed(choice.opening_ms, milliseconds_of(now - sent), smoothing);
+    target_evidence& target = evidence_of(choice, directory, place);
+    data_centre_evidence& all =
+        choice.data_centres[directory.targets[place].record.data_centre];
+    if (is_suspect(target))
+    {
+        all.next_trial = now;
+        all.trial_interval = duration(0);
+    }
     if (sent >= target.answered_opening)
     {
         target.answered_opening = sent;
         target.overdue = 0;
     }
+    if (sent >= all.answered_opening)
+    {
+        all.answered_opening = sent;
+        all.overdue = 0;
+    }
 }
 
-void note_overdue(target_evidence& target, time_point sent)
+void note_overdue(target_choice& choice, const target_directory& directory,
+                  target_index place, time_point sent)
 {
+    target_evidence& target = evidence_of(choice, directory, place);
     if (sent > target.answered_opening)
     {
         ++target.overdue;
     }
+    data_centre_evidence& all =
+        choice.data_centres[directory.targets[place].record.data_centre];
+    if (sent > all.answered_opening)
+    {
+        ++all.overdue;
+    }
 }
 
 void note_served(target_evidence& target, duration time)
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -103,9 +103,11 @@
     case steering_verdict::no_target:
         return "no_target";
     case steering_verdict::unknown_token:
+        return "unknown_token";
+    case steering_verdict::wait:
         break;
     }
-    return "unknown_token";
+    return "waits";
 }
 
 std::string metrics_page(const entry_metrics& metrics, const entry& self, time_point now)
