Let openings wait while every target is full; write log lines together

Cause: after a power failure some 1,100 flows a second arrive at targets that work on 720; they queue at the targets and make fresh requests late. Also: while the fabric deals flows anew, flows leave without a FIN here; they counted as load for up to 4 s and their openings as evidence. Load now ends after four usual flow times of silence, and strays suspend the evidence.

--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -90,6 +90,8 @@
     bool is_busy = false;
     /// The caller has ended it.
     bool is_ended = false;
+    /// It was opened through another instance.
+    bool is_adopted = false;
 };
 
 /// An opening that is looked at again when its target should have answered.
@@ -108,6 +110,9 @@
     target_choice choice;
     std::uint64_t random = 1;
     time_point next_sweep;
+    /// When packets of flows that were opened elsewhere came, and how many in that span.
+    time_point strays_since;
+    std::uint32_t strays = 0;
 };
 
 /// Decides what happens to \p packet.
--- a/include/kumquatpath/decision/target_choice.hpp
+++ b/include/kumquatpath/decision/target_choice.hpp
@@ -43,8 +43,8 @@
     time_point answered_opening;
     /// Openings sent after that one that are overdue.
     std::uint32_t overdue = 0;
-    /// When one of its suspect targets may be passed the next trial flow, and how long after
-    /// that the one that follows.
+    /// When one of its suspect targets may be passed the next trial flow, and how long
+    /// after that the one that follows.
     time_point next_trial;
     duration trial_interval{0};
 };
--- /dev/null
+++ b/include/kumquatpath/decision/waiting_room.hpp
@@ -0,0 +1,56 @@
+#ifndef KUMQUATPATH_DECISION_WAITING_ROOM_HPP
+#define KUMQUATPATH_DECISION_WAITING_ROOM_HPP
+
+/// \file
+/// Openings that wait because every target of their service is full.
+///
+/// After an outage, or in a flood, more comes than the targets can work on, and what
+/// waits in their queues makes everything late. So it waits here, where the newest
+/// openings that can still be answered within their latency goal go first and those that
+/// are late already take what is left. An opening that its caller is about to give up is
+/// refused: it has not run, and the caller may try again.
+
+#include <kumquatpath/decision/flow_steering.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+namespace kumquatpath
+{
+
+/// The most openings that wait; the one that is latest makes room for a new one.
+inline constexpr std::size_t most_waiting = 4096;
+
+/// One opening that waits.
+struct waiting_opening
+{
+    flow_packet packet;
+    /// The caller's datagram as it came.
+    std::vector<std::byte> datagram;
+    /// When the caller first sent the opening.
+    time_point begun;
+    /// Until when it can be placed and still be answered in time.
+    time_point in_time_until;
+    std::uint32_t priority = 0;
+};
+
+/// All openings that wait.
+struct waiting_room
+{
+    std::vector<waiting_opening> openings;
+};
+
+/// Lets \p opening wait. A copy of one that waits already takes its place. Returns the
+/// one that had to make room, if any.
+std::optional<waiting_opening> add_waiting(waiting_room& room, waiting_opening opening);
+
+/// Puts the openings in the order in which they are to be placed at \p now.
+void order_waiting(waiting_room& room, time_point now);
+
+/// Takes out and returns the openings that their callers are about to give up.
+std::vector<waiting_opening> take_expired(waiting_room& room, time_point now);
+
+} // namespace kumquatpath
+
+#endif
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -9,12 +9,20 @@
 
 /// A flow that nobody has answered is over for its caller after this time.
 constexpr duration opening_lifetime = std::chrono::milliseconds(1500);
-/// A flow whose answer has not come after this time no longer counts as load.
-constexpr duration longest_work = std::chrono::seconds(4);
+/// A flow that is silent for this many times as long as its like usually take, within
+/// these bounds, no longer counts as load: its packets may pass another instance by now.
+constexpr double silence_in_flow_times = 4;
+constexpr duration least_silence = std::chrono::milliseconds(150);
+constexpr duration most_silence = std::chrono::seconds(4);
+/// More flows than this that were opened elsewhere, within stray_span, mean that the
+/// fabric deals flows anew; then an opening without its answer says nothing of its
+/// target.
+constexpr std::uint32_t most_strays = 3;
+constexpr duration stray_span = std::chrono::milliseconds(500);
 /// An ended flow is remembered for its last packets.
 constexpr duration ended_memory = std::chrono::seconds(2);
 constexpr duration idle_memory = std::chrono::seconds(20);
-constexpr duration sweep_interval = std::chrono::milliseconds(500);
+constexpr duration sweep_interval = std::chrono::milliseconds(100);
 
 std::uint64_t flow_key(const flow_packet& packet)
 {
@@ -121,6 +129,14 @@
     return forward_to(directory, flow.target, true);
 }
 
+bool has_target(const target_directory& directory, service_id service, time_point now)
+{
+    const auto places = targets_of(directory, service);
+    return std::any_of(places.begin(), places.end(),
+                       [&](target_index each)
+                       { return takes_new_flows(directory.targets[each], now); });
+}
+
 steering_decision steer_opening(flow_steering& steering, const routing_table& table,
                                 const target_directory& directory,
                                 const flow_packet& packet, time_point now)
@@ -137,13 +153,15 @@
     {
         return steer_copy(steering, *chosen, directory, key, found->second, now);
     }
+    const service_id service = pick_service(*chosen, steering.random);
     const target_index* const target = choose_target(
         steering.choice, directory,
-        {.service = pick_service(*chosen, steering.random), .random = steering.random},
-        now);
+        {.service = service, .is_patient = true, .random = steering.random}, now);
     if (target == nullptr)
     {
-        return {.verdict = steering_verdict::no_target};
+        return {.verdict = has_target(directory, service, now)
+                               ? steering_verdict::wait
+                               : steering_verdict::no_target};
     }
     if (steering.flows.size() < most_remembered_flows)
     {
@@ -177,37 +195,47 @@
     flow.last_seen = now;
     if (packet.is_end)
     {
-        flow.is_ended = true;
-        if (flow.is_busy && flow.is_answered)
+        if (flow.is_answered && !flow.is_ended && !flow.is_adopted)
         {
             note_served(evidence_of(steering.choice, directory, flow.target),
                         now - flow.answered_at);
         }
+        flow.is_ended = true;
         set_busy(steering, directory, flow, false);
     }
 }
 
 void review_opening(flow_steering& steering, const target_directory& directory,
-                    const seen_flow& flow)
+                    const seen_flow& flow, time_point now)
 {
+    const bool are_flows_dealt_anew =
+        steering.strays > most_strays && now < steering.strays_since + 2 * stray_span;
     const target_evidence& evidence =
         evidence_of(steering.choice, directory, flow.target);
-    if (!flow.is_answered && evidence.key == flow.key)
+    if (!flow.is_answered && evidence.key == flow.key && !are_flows_dealt_anew)
     {
         note_overdue(steering.choice, directory, flow.target, flow.placed_at);
     }
 }
 
+duration longest_silence(const target_evidence& evidence)
+{
+    const auto usual =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
+            silence_in_flow_times * evidence.service_ms));
+    return usual == duration(0) ? least_silence
+                                : std::clamp(usual, least_silence, most_silence);
+}
+
 /// Takes flows off the load that get no answer, and forgets those that are over.
 void sweep(flow_steering& steering, const target_directory& directory, time_point now)
 {
     for (auto each = steering.flows.begin(); each != steering.flows.end();)
     {
         seen_flow& flow = each->second;
-        const bool is_given_up =
-            (!flow.is_answered && now >= flow.opened_at + opening_lifetime) ||
-            now >= flow.last_seen + longest_work;
-        if (is_given_up)
+        if (flow.is_busy &&
+            now >= flow.last_seen + longest_silence(evidence_of(steering.choice,
+                                                                directory, flow.target)))
         {
             set_busy(steering, directory, flow, false);
         }
@@ -223,6 +251,35 @@
     }
 }
 
+void note_stray(flow_steering& steering, time_point now)
+{
+    if (now >= steering.strays_since + stray_span)
+    {
+        steering.strays_since = now;
+        steering.strays = 0;
+    }
+    ++steering.strays;
+}
+
+/// Remembers a flow that was opened through another instance and whose packets come here.
+void adopt(flow_steering& steering, const target_directory& directory,
+           const flow_packet& packet, target_index target, time_point now)
+{
+    note_stray(steering, now);
+    if (packet.is_end || steering.flows.size() >= most_remembered_flows)
+    {
+        return;
+    }
+    seen_flow& flow = steering.flows[flow_key(packet)];
+    flow = {.target = target,
+            .opened_at = now,
+            .answered_at = now,
+            .last_seen = now,
+            .is_answered = true,
+            .is_adopted = true};
+    place(steering, directory, flow, target, now);
+}
+
 } // namespace
 
 steering_decision steer(flow_steering& steering, const routing_table& table,
@@ -241,6 +298,7 @@
     const auto found = steering.flows.find(flow_key(packet));
     if (found == steering.flows.end())
     {
+        adopt(steering, directory, packet, *told, now);
         return forward_to(directory, *told, false);
     }
     seen_flow& flow = found->second;
@@ -250,7 +308,7 @@
         decision.opening_time = now - flow.placed_at;
         note_answer(steering, directory, flow, *told, now);
     }
-    if (packet.is_end && !flow.is_ended)
+    if (packet.is_end && !flow.is_ended && !flow.is_adopted)
     {
         decision.flow_time = now - flow.opened_at;
     }
@@ -273,7 +331,7 @@
         steering.pending.pop_front();
         if (found != steering.flows.end())
         {
-            review_opening(steering, directory, found->second);
+            review_opening(steering, directory, found->second, now);
         }
     }
     if (now >= steering.next_sweep)
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -92,8 +92,8 @@
            found->second.overdue >= overdue_to_suspect_data_centre;
 }
 
-/// A trial flow may be lost, so the suspect targets of a data centre get them one at a time,
-/// and more and more rarely while none is answered.
+/// A trial flow may be lost, so the suspect targets of a data centre get them one at a
+/// time, and more and more rarely while none is answered.
 bool is_trial_due(target_choice& choice, data_centre_id of, time_point now)
 {
     return now >= choice.data_centres[of].next_trial;
@@ -152,7 +152,8 @@
     return evidence;
 }
 
-const target_index* choose_target(target_choice& choice, const target_directory& directory,
+const target_index* choose_target(target_choice& choice,
+                                  const target_directory& directory,
                                   const choice_request& request, time_point now)
 {
     constexpr double tie_breadth = 0.05;
@@ -175,7 +176,8 @@
         const bool is_doubtful =
             is_suspect(evidence) ||
             is_data_centre_suspect(choice, target.record.data_centre);
-        if (request.is_patient && !is_doubtful && !is_avoided && is_full(target, evidence))
+        if (request.is_patient && !is_doubtful && !is_avoided &&
+            is_full(target, evidence))
         {
             has_full = true;
             continue;
--- a/src/edge/log.cpp
+++ b/src/edge/log.cpp
@@ -4,7 +4,7 @@
 
 #include <chrono>
 #include <condition_variable>
-#include <deque>
+#include <cstddef>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -22,12 +22,8 @@
 {
 
 constexpr std::size_t most_waiting_lines = 4096;
-
-struct waiting_line
-{
-    log_level level = log_level::info;
-    std::string text;
-};
+/// Lines are written together after this time; each write costs a wake-up.
+constexpr std::chrono::milliseconds write_interval{100};
 
 /// The queue between the threads that log and the thread that writes. Many threads log,
 /// so this is the one queue that a lock guards; no thread that decides packets logs per
@@ -36,7 +32,9 @@
 {
     std::mutex mutex;
     std::condition_variable changed;
-    std::deque<waiting_line> lines;
+    /// Whole lines, each with its end, that wait to be written together.
+    std::string text;
+    std::size_t lines = 0;
     std::string instance;
     std::uint64_t dropped = 0;
     bool is_open = false;
@@ -78,36 +76,22 @@
     return boost::json::serialize(line);
 }
 
-void write(const waiting_line& line)
-{
-    switch (line.level)
-    {
-    case log_level::warning:
-        LOG(WARNING) << line.text;
-        break;
-    case log_level::error:
-        LOG(ERROR) << line.text;
-        break;
-    default:
-        LOG(INFO) << line.text;
-        break;
-    }
-}
-
 void write_until_closed()
 {
     line_queue& shared = queue();
     std::unique_lock lock(shared.mutex);
-    while (shared.is_open || !shared.lines.empty())
+    while (shared.is_open || shared.lines > 0)
     {
-        shared.changed.wait(lock,
-                            [&] { return !shared.is_open || !shared.lines.empty(); });
-        std::deque<waiting_line> taken;
-        taken.swap(shared.lines);
+        shared.changed.wait(lock, [&] { return !shared.is_open || shared.lines > 0; });
+        shared.changed.wait_for(lock, write_interval, [&] { return !shared.is_open; });
+        std::string taken;
+        taken.swap(shared.text);
+        shared.lines = 0;
         lock.unlock();
-        for (const waiting_line& each : taken)
+        if (!taken.empty())
         {
-            write(each);
+            taken.pop_back();
+            LOG(INFO) << taken;
         }
         lock.lock();
     }
@@ -154,7 +138,7 @@
     {
         return;
     }
-    if (shared.lines.size() >= most_waiting_lines)
+    if (shared.lines >= most_waiting_lines)
     {
         ++shared.dropped;
         return;
@@ -164,8 +148,13 @@
         fields["lines_dropped_before"] = shared.dropped;
         shared.dropped = 0;
     }
-    shared.lines.push_back({level, text_of(level, shared.instance, event, fields)});
-    shared.changed.notify_one();
+    shared.text += text_of(level, shared.instance, event, fields);
+    shared.text += '\n';
+    ++shared.lines;
+    if (shared.lines == 1)
+    {
+        shared.changed.notify_one();
+    }
 }
 
 } // namespace kumquatpath
--- a/src/entry/metrics.cpp
+++ b/src/entry/metrics.cpp
@@ -121,7 +121,7 @@
     }
     write_counter(out, "packets_malformed", metrics.packets_malformed);
     write_counter(out, "flows_placed", metrics.flows_placed);
-    write_counter(out, "openings_moved", metrics.openings_moved);
+    write_counter(out, "openings_refused", metrics.openings_refused);
     write_counter(out, "peer_messages_refused", metrics.peer_messages_refused);
     write_counter(out, "control_bytes_sent", metrics.control_bytes_sent);
     write_counter(out, "readings", metrics.readings);
--- a/src/entry/metrics.hpp
+++ b/src/entry/metrics.hpp
@@ -34,7 +34,7 @@
     std::array<std::uint64_t, steering_verdict_count> verdicts{};
     std::uint64_t packets_malformed = 0;
     std::uint64_t flows_placed = 0;
-    std::uint64_t openings_moved = 0;
+    std::uint64_t openings_refused = 0;
     std::uint64_t peer_messages_refused = 0;
     std::uint64_t control_bytes_sent = 0;
     std::uint64_t readings = 0;
--- a/src/entry/packet_duty.cpp
+++ b/src/entry/packet_duty.cpp
@@ -18,7 +18,9 @@
 constexpr duration far_beat_interval = std::chrono::milliseconds(400);
 constexpr duration seeds_interval = std::chrono::milliseconds(500);
 /// The longest datagram between a caller and this instance, without what goes before it.
-constexpr std::size_t most_lines_a_second = 200;
+constexpr std::size_t most_lines_a_second = 100;
+/// What a flow takes from its placement on; an opening that waits must leave as much.
+constexpr duration usual_flow_time = std::chrono::milliseconds(100);
 
 entry make_self(const entry_settings& settings, std::uint64_t start)
 {
@@ -208,6 +210,7 @@
         data_.flush();
         batch = data_.receive();
     }
+    place_waiting(now);
 }
 
 void packet_duty::steer_packet(payload_view datagram, time_point now)
@@ -225,10 +228,11 @@
     ++metrics_.verdicts[static_cast<std::size_t>(decision.verdict)];
     if (decision.verdict == steering_verdict::forward)
     {
-        const target_record& target = self_.directory.targets[decision.target].record;
-        const std::size_t size =
-            format_.write_forward(datagram, target, decision.token, scratch_);
-        data_.queue(target.address, payload_view(scratch_).first(size));
+        forward(datagram, decision);
+    }
+    if (decision.verdict == steering_verdict::wait)
+    {
+        let_wait(*packet, datagram, now);
     }
     if (decision.opening_time || decision.flow_time)
     {
@@ -241,6 +245,84 @@
     }
 }
 
+void packet_duty::forward(payload_view datagram, const steering_decision& decision)
+{
+    const target_record& target = self_.directory.targets[decision.target].record;
+    const std::size_t size =
+        format_.write_forward(datagram, target, decision.token, scratch_);
+    data_.queue(target.address, payload_view(scratch_).first(size));
+}
+
+void packet_duty::let_wait(const flow_packet& packet, payload_view datagram,
+                           time_point now)
+{
+    const route* const found = find_route(*self_.configuration.table, packet.listener);
+    const time_point begun = now - packet.age;
+    const auto displaced = add_waiting(
+        waiting_, {.packet = packet,
+                   .datagram = {datagram.begin(), datagram.end()},
+                   .begun = begun,
+                   .in_time_until = begun + found->latency_goal - usual_flow_time,
+                   .priority = found->priority});
+    if (displaced)
+    {
+        refuse(*displaced, now);
+    }
+}
+
+void packet_duty::refuse(const waiting_opening& opening, time_point now)
+{
+    endpoint to;
+    const std::size_t size = format_.write_reset(opening.datagram, scratch_, to);
+    data_.queue(to, payload_view(scratch_).first(size));
+    ++metrics_.openings_refused;
+    if (may_log(now))
+    {
+        log(log_level::info, "flow_refused",
+            {{"flow", flow_name(opening.packet)},
+             {"why", "every target is full"},
+             {"waiting", waiting_.openings.size()}});
+    }
+}
+
+void packet_duty::place_waiting(time_point now)
+{
+    if (waiting_.openings.empty())
+    {
+        return;
+    }
+    for (const waiting_opening& each : take_expired(waiting_, now))
+    {
+        refuse(each, now);
+    }
+    order_waiting(waiting_, now);
+    std::vector<endpoint> full;
+    std::erase_if(waiting_.openings,
+                  [&](const waiting_opening& each)
+                  {
+                      if (std::find(full.begin(), full.end(), each.packet.listener) !=
+                          full.end())
+                      {
+                          return false;
+                      }
+                      const steering_decision decision =
+                          steer(self_.steering, *self_.configuration.table,
+                                self_.directory, each.packet, now);
+                      if (decision.verdict == steering_verdict::wait)
+                      {
+                          full.push_back(each.packet.listener);
+                          return false;
+                      }
+                      if (decision.verdict == steering_verdict::forward)
+                      {
+                          forward(each.datagram, decision);
+                      }
+                      log_placement(each.packet, decision, now);
+                      return true;
+                  });
+    data_.flush();
+}
+
 bool packet_duty::may_log(time_point now)
 {
     if (now >= log_refill_)
@@ -351,6 +433,7 @@
 void packet_duty::tick_now(time_point now)
 {
     tick(self_, now);
+    place_waiting(now);
     send_beats(now);
     find_seeds(now);
     watch_targets(now);
--- a/src/entry/packet_duty.hpp
+++ b/src/entry/packet_duty.hpp
@@ -10,6 +10,7 @@
 #include "state_duty.hpp"
 
 #include <kumquatpath/decision/entry.hpp>
+#include <kumquatpath/decision/waiting_room.hpp>
 #include <kumquatpath/edge/packet_format.hpp>
 #include <kumquatpath/edge/udp_port.hpp>
 
@@ -59,6 +60,10 @@
 
     void receive_packets();
     void steer_packet(payload_view datagram, time_point now);
+    void forward(payload_view datagram, const steering_decision& decision);
+    void refuse(const waiting_opening& opening, time_point now);
+    void let_wait(const flow_packet& packet, payload_view datagram, time_point now);
+    void place_waiting(time_point now);
     void log_placement(const flow_packet& packet, const steering_decision& decision,
                        time_point now);
     bool may_log(time_point now);
@@ -82,6 +87,7 @@
     udp_port peers_;
     boost::asio::steady_timer timer_;
     entry self_;
+    waiting_room waiting_;
     entry_metrics metrics_;
     std::vector<std::byte> scratch_;
     std::vector<bool> were_suspect_;
--- /dev/null
+++ b/test/decision/entry_fixture.hpp
@@ -0,0 +1,76 @@
+#ifndef KUMQUATPATH_TEST_DECISION_ENTRY_FIXTURE_HPP
+#define KUMQUATPATH_TEST_DECISION_ENTRY_FIXTURE_HPP
+
+/// \file
+/// A small deployment for tests of an entry instance: one listener, one service, targets
+/// in two data centres.
+
+#include <kumquatpath/decision/entry.hpp>
+
+namespace kumquatpath::test
+{
+
+inline const service_id web = id_of<service_id>("web");
+inline const service_id store = id_of<service_id>("store");
+inline const data_centre_id north = id_of<data_centre_id>("north");
+inline const data_centre_id south = id_of<data_centre_id>("south");
+inline constexpr endpoint web_listener{.address = 0xc6120001, .port = 443};
+
+/// Returns the announcement of target \p key in revision \p revision.
+inline target_change announcement(std::uint64_t key, std::uint64_t revision,
+                                  data_centre_id where = north)
+{
+    return {.key = {key},
+            .revision = {revision},
+            .record = target_record{
+                .key = {key},
+                .service = web,
+                .address = {.address = 0x0a800000U + static_cast<std::uint32_t>(key),
+                            .port = 8080},
+                .data_centre = where,
+                .slots = 2}};
+}
+
+/// Returns the news that target \p key is gone.
+inline target_change departure(std::uint64_t key, std::uint64_t revision)
+{
+    return {.key = {key}, .revision = {revision}, .is_gone = true};
+}
+
+/// Returns a table with the one listener.
+inline routing_table web_table()
+{
+    routing_table table;
+    table.routes.emplace(pack(web_listener),
+                         route{.name = "web", .services = {{.service = web}}});
+    return table;
+}
+
+/// Returns the packet that opens flow \p number, \p age after its first copy.
+inline flow_packet opening(std::uint16_t number, duration age = duration(0))
+{
+    return {.caller = {.address = 0x64400007, .port = number},
+            .listener = web_listener,
+            .is_opening = true,
+            .age = age};
+}
+
+/// Returns a packet of the open flow \p number.
+inline flow_packet continuation(std::uint16_t number, flow_token token)
+{
+    return {.caller = {.address = 0x64400007, .port = number},
+            .listener = web_listener,
+            .token = token};
+}
+
+/// Returns the packet with which the caller ends flow \p number.
+inline flow_packet ending(std::uint16_t number, flow_token token)
+{
+    flow_packet packet = continuation(number, token);
+    packet.is_end = true;
+    return packet;
+}
+
+} // namespace kumquatpath::test
+
+#endif
--- /dev/null
+++ b/test/decision/flow_steering_test.cpp
@@ -0,0 +1,215 @@
+/// \file
+/// Steering of packets: by listener for openings, by token for everything else.
+
+#include "entry_fixture.hpp"
+
+#include <set>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpath;
+using namespace kumquatpath::test;
+using namespace std::chrono_literals;
+
+TEST_GROUP(flow_steering)
+{
+    time_point now{100s};
+    routing_table table = web_table();
+    target_directory directory;
+    flow_steering steering;
+    std::uint16_t next_flow = 1000;
+
+    void setup() override
+    {
+        steering.choice.home = north;
+        add(1, north);
+        add(2, north);
+    }
+
+    void add(std::uint64_t key, data_centre_id where)
+    {
+        apply_change(directory, announcement(key, key, where), now);
+    }
+
+    steering_decision give(const flow_packet& packet)
+    {
+        return steer(steering, table, directory, packet, now);
+    }
+
+    /// Opens a flow that its target answers 6 ms later, and returns where it went.
+    target_index open()
+    {
+        const std::uint16_t flow = next_flow++;
+        const steering_decision placed = give(opening(flow));
+        CHECK_TRUE(placed.verdict == steering_verdict::forward);
+        now += 6ms;
+        give(continuation(flow, placed.token));
+        return placed.target;
+    }
+
+    /// Opens flows and lets time pass until the silence of \p silent shows.
+    void let_time_pass_without_answers_of(std::set<target_index> silent)
+    {
+        for (int i = 0; i < 40; ++i)
+        {
+            const std::uint16_t flow = next_flow++;
+            const steering_decision placed = give(opening(flow));
+            now += 10ms;
+            if (placed.verdict == steering_verdict::forward &&
+                !silent.contains(placed.target))
+            {
+                give(continuation(flow, placed.token));
+                give(ending(flow, placed.token));
+            }
+            review_flows(steering, directory, now);
+        }
+    }
+};
+
+TEST(flow_steering, an_opening_goes_to_a_target_of_its_listener)
+{
+    const steering_decision decision = give(opening(1));
+    CHECK_TRUE(decision.verdict == steering_verdict::forward);
+    CHECK_TRUE(decision.is_placement);
+    CHECK_TRUE(decision.token == directory.targets[decision.target].token);
+}
+
+TEST(flow_steering, an_opening_for_an_unknown_listener_has_no_route)
+{
+    flow_packet packet = opening(1);
+    packet.listener.port = 444;
+    CHECK_TRUE(give(packet).verdict == steering_verdict::no_route);
+}
+
+TEST(flow_steering, an_opening_is_placed_by_its_listener_whatever_token_it_carries)
+{
+    target_change other = announcement(9, 9);
+    other.record->service = store;
+    apply_change(directory, other, now);
+    for (std::uint16_t flow = 1; flow < 5; ++flow)
+    {
+        flow_packet packet = opening(flow);
+        packet.token = token_of({9});
+        const steering_decision decision = give(packet);
+        CHECK_TRUE(directory.targets[decision.target].record.service == web);
+    }
+}
+
+TEST(flow_steering, any_instance_finds_the_target_by_the_token_alone)
+{
+    const steering_decision placed = give(opening(1));
+    flow_steering other_instance;
+    const steering_decision followed =
+        steer(other_instance, table, directory, continuation(1, placed.token), now);
+    CHECK_TRUE(followed.verdict == steering_verdict::forward);
+    UNSIGNED_LONGS_EQUAL(placed.target, followed.target);
+}
+
+TEST(flow_steering, a_token_of_no_known_target_is_not_guessed)
+{
+    CHECK_TRUE(give(continuation(1, {0})).verdict == steering_verdict::unknown_token);
+    CHECK_TRUE(give(continuation(1, {77})).verdict == steering_verdict::unknown_token);
+}
+
+TEST(flow_steering, an_open_flow_keeps_a_target_that_drains_or_is_gone)
+{
+    const steering_decision placed = give(opening(1));
+    const std::uint64_t key = directory.targets[placed.target].record.key.value;
+    apply_change(directory, departure(key, 50), now);
+    const steering_decision followed = give(continuation(1, placed.token));
+    CHECK_TRUE(followed.verdict == steering_verdict::forward);
+    UNSIGNED_LONGS_EQUAL(placed.target, followed.target);
+}
+
+TEST(flow_steering, a_copy_goes_to_another_target_when_the_first_is_silent)
+{
+    const steering_decision first = give(opening(1));
+    now += 200ms;
+    const steering_decision second = give(opening(1, 200ms));
+    CHECK_TRUE(second.verdict == steering_verdict::forward);
+    CHECK_TRUE(second.target != first.target);
+}
+
+TEST(flow_steering, a_copy_goes_to_the_same_target_when_that_answers_others)
+{
+    const steering_decision first = give(opening(1));
+    now += 10ms;
+    while (open() != first.target)
+    {
+    }
+    now += 190ms;
+    UNSIGNED_LONGS_EQUAL(first.target, give(opening(1, 200ms)).target);
+}
+
+TEST(flow_steering, a_second_target_that_answers_late_does_not_draw_the_flow_away)
+{
+    const steering_decision first = give(opening(1));
+    now += 200ms;
+    const steering_decision second = give(opening(1, 200ms));
+    give(continuation(1, second.token));
+    now += 50ms;
+    // The first target's answer has come to the caller too, with the first token.
+    UNSIGNED_LONGS_EQUAL(second.target, give(continuation(1, first.token)).target);
+}
+
+TEST(flow_steering, a_target_that_leaves_openings_unanswered_is_passed_over)
+{
+    let_time_pass_without_answers_of({0});
+    CHECK_TRUE(is_suspect(steering.choice.evidence[0]));
+    int chosen = 0;
+    for (int i = 0; i < 20; ++i)
+    {
+        chosen += open() == 0 ? 1 : 0;
+    }
+    CHECK_TRUE(chosen <= 1);
+}
+
+TEST(flow_steering, a_suspect_target_is_trusted_again_after_one_answer)
+{
+    let_time_pass_without_answers_of({0});
+    for (int i = 0; i < 600 && is_suspect(steering.choice.evidence[0]); ++i)
+    {
+        open();
+        review_flows(steering, directory, now);
+    }
+    CHECK_FALSE(is_suspect(steering.choice.evidence[0]));
+}
+
+TEST(flow_steering, openings_wait_when_every_target_is_full)
+{
+    for (int i = 0; i < 8; ++i)
+    {
+        open();
+    }
+    CHECK_TRUE(give(opening(1)).verdict == steering_verdict::wait);
+}
+
+TEST(flow_steering, a_flow_that_ends_makes_room)
+{
+    for (int i = 0; i < 8; ++i)
+    {
+        open();
+    }
+    give(ending(1000, token_of({1})));
+    give(ending(1001, token_of({2})));
+    CHECK_TRUE(give(opening(1)).verdict == steering_verdict::forward);
+}
+
+TEST(flow_steering, openings_that_get_lost_while_flows_are_dealt_anew_accuse_nobody)
+{
+    for (std::uint16_t flow = 1; flow < 10; ++flow)
+    {
+        give(continuation(flow, token_of({2})));
+    }
+    let_time_pass_without_answers_of({0});
+    CHECK_FALSE(is_suspect(steering.choice.evidence[0]));
+}
+
+TEST(flow_steering, a_silent_flow_is_no_load_for_long)
+{
+    open();
+    now += 1s;
+    review_flows(steering, directory, now);
+    UNSIGNED_LONGS_EQUAL(0, steering.choice.evidence[0].busy +
+                                steering.choice.evidence[1].busy);
+}
