Spend fewer system calls on a packet; spread askers over all that can tell

Cause: each wake-up of the packet thread made one receive call too many, and a timer ran 40 times a second. Change: a batch that is not full is the last; a 50 ms tick, and openings are reviewed with each batch; the teller is drawn at random, never the one that has just failed, and serves six at a time.

--- a/include/kumquatpath/decision/fleet_peers.hpp
+++ b/include/kumquatpath/decision/fleet_peers.hpp
@@ -78,10 +78,20 @@
 /// Returns the newest freshness that peers or this instance know of.
 state_freshness newest_freshness(const fleet_peers& fleet, state_revision position);
 
-/// Returns a live peer that knows more than \p position or a newer configuration than
-/// \p configuration, of the own data centre first; null if there is none.
-const fleet_peer* better_informed(const fleet_peers& fleet, state_revision position,
-                                  state_revision configuration, time_point now);
+/// What an instance knows, and whom it asked in vain for more.
+struct teller_request
+{
+    state_revision position;
+    state_revision configuration;
+    instance_id avoided;
+    /// Uniform random bits: they spread the instances over those that can tell.
+    std::uint64_t random = 0;
+};
+
+/// Returns a live peer that knows more, of the own data centre first; null if there is
+/// none.
+const fleet_peer* better_informed(const fleet_peers& fleet, const teller_request& request,
+                                  time_point now);
 
 /// Returns up to \p most live peers, to tell others of; \p turn picks which.
 std::vector<fleet_member> members_to_tell(const fleet_peers& fleet, std::size_t most,
--- a/include/kumquatpath/edge/udp_port.hpp
+++ b/include/kumquatpath/edge/udp_port.hpp
@@ -32,6 +32,9 @@
 class udp_port
 {
 public:
+    /// The most datagrams that one call receives.
+    static constexpr std::size_t batch_size = 64;
+
     /// Binds to \p local. Throws boost::system::system_error if that fails.
     udp_port(boost::asio::io_context& context, const endpoint& local,
              std::size_t longest_datagram);
--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -1,6 +1,7 @@
 #include <kumquatpath/decision/fleet_peers.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace kumquatpath
 {
@@ -85,25 +86,21 @@
     return is_newer(told, fleet.own) ? told : fleet.own;
 }
 
-const fleet_peer* better_informed(const fleet_peers& fleet, state_revision position,
-                                  state_revision configuration, time_point now)
+const fleet_peer* better_informed(const fleet_peers& fleet, const teller_request& request,
+                                  time_point now)
 {
     const fleet_peer* best = nullptr;
+    std::tuple<bool, bool, std::uint64_t> best_rank;
     for (const auto& [instance, peer] : fleet.peers)
     {
-        const bool knows_more =
-            peer.position > position || peer.configuration > configuration;
-        if (!knows_more || !is_live(peer, now))
-        {
-            continue;
-        }
-        const auto rank = [&](const fleet_peer& each)
-        {
-            return std::pair(each.data_centre == fleet.home, each.position);
-        };
-        if (best == nullptr || rank(peer) > rank(*best))
+        const bool knows_more = peer.position > request.position ||
+                                peer.configuration > request.configuration;
+        const std::tuple rank(instance != request.avoided, peer.data_centre == fleet.home,
+                              mix(request.random, instance.value));
+        if (knows_more && is_live(peer, now) && (best == nullptr || rank > best_rank))
         {
             best = &peer;
+            best_rank = rank;
         }
     }
     return best;
--- a/src/edge/udp_port.cpp
+++ b/src/edge/udp_port.cpp
@@ -14,7 +14,7 @@
 namespace
 {
 
-constexpr std::size_t batch_size = 64;
+constexpr std::size_t batch_size = udp_port::batch_size;
 /// Room for bursts in the kernel, in bytes.
 constexpr int kernel_buffer_size = 4 << 20;
 
--- a/src/entry/packet_duty.cpp
+++ b/src/entry/packet_duty.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds tick_interval{25};
+constexpr std::chrono::milliseconds tick_interval{50};
 /// How often peers of the own data centre are told of the loads.
 constexpr duration home_beat_interval = std::chrono::milliseconds(100);
 /// How often other peers get a sign of life.
@@ -120,6 +120,7 @@
 void packet_duty::take(state_was_told&& message)
 {
     const time_point now = monotonic_now();
+    last_asked_ = {};
     bool is_newer = false;
     if (message.table)
     {
@@ -200,16 +201,18 @@
 void packet_duty::receive_packets()
 {
     const time_point now = monotonic_now();
-    auto batch = data_.receive();
-    while (!batch.empty())
+    bool may_have_more = true;
+    while (may_have_more)
     {
+        const auto batch = data_.receive();
         for (const received_datagram& each : batch)
         {
             steer_packet(each.bytes, now);
         }
         data_.flush();
-        batch = data_.receive();
+        may_have_more = batch.size() == udp_port::batch_size;
     }
+    review_flows(self_.steering, self_.directory, now);
     place_waiting(now);
 }
 
@@ -378,14 +381,15 @@
 void packet_duty::receive_beats()
 {
     const time_point now = monotonic_now();
-    auto batch = peers_.receive();
-    while (!batch.empty())
+    bool may_have_more = true;
+    while (may_have_more)
     {
+        const auto batch = peers_.receive();
         for (const received_datagram& each : batch)
         {
             hear(each.bytes, each.source, now);
         }
-        batch = peers_.receive();
+        may_have_more = batch.size() == udp_port::batch_size;
     }
     peers_.flush();
     follow_state(now);
@@ -516,13 +520,19 @@
     {
         return;
     }
-    const fleet_peer* const teller = better_informed(
-        self_.fleet, self_.directory.position, self_.configuration.revision, now);
+    const fleet_peer* const teller =
+        better_informed(self_.fleet,
+                        {.position = self_.directory.position,
+                         .configuration = self_.configuration.revision,
+                         .avoided = last_asked_,
+                         .random = mix(self_.incarnation, self_.beats_sent)},
+                        now);
     if (teller == nullptr)
     {
         return;
     }
     is_asking_ = true;
+    last_asked_ = teller->instance;
     outputs_.ask({.peer = teller->address,
                   .instance = teller->instance,
                   .request = {.position = self_.directory.position,
--- a/src/entry/packet_duty.hpp
+++ b/src/entry/packet_duty.hpp
@@ -92,6 +92,8 @@
     std::vector<std::byte> scratch_;
     std::vector<bool> were_suspect_;
     bool is_asking_ = false;
+    /// The peer that was asked and has not answered.
+    instance_id last_asked_;
     bool was_reading_ = false;
     bool is_source_lost_ = false;
     time_point next_home_beat_;
--- a/src/entry/transfer_duty.cpp
+++ b/src/entry/transfer_duty.cpp
@@ -20,8 +20,9 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t most_sessions = 64;
-constexpr auto session_timeout = std::chrono::seconds(2);
+/// A teller serves few at a time, so that each is done soon and can tell others.
+constexpr std::size_t most_sessions = 6;
+constexpr auto session_timeout = std::chrono::milliseconds(1500);
 constexpr std::size_t length_size = 4;
 
 tcp::endpoint to_tcp(const endpoint& value)
