--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -54,6 +54,13 @@
     time_point announced_at;
 };
 
+/// The news that a target is gone whose announcement never came.
+struct early_departure
+{
+    state_revision revision;
+    time_point told_at;
+};
+
 /// The directory. Change it by the functions below only.
 struct target_directory
 {
@@ -63,6 +70,8 @@
     boost::unordered_flat_map<service_id, std::vector<target_index>,
                               std::hash<service_id>>
         by_service;
+    /// By the keys of targets that are not known.
+    boost::unordered_flat_map<std::uint64_t, early_departure> early_departures;
     /// Changes up to this one are in the directory.
     state_revision position;
     /// Until when announcements that vanish are not yet held against their targets.
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -102,6 +102,35 @@
     target.announced_at = now;
 }
 
+/// Takes the first usable change of a target.
+bool apply_first_change(target_directory& directory, const target_change& change,
+                        time_point now)
+{
+    const auto early = directory.early_departures.find(change.key.value);
+    const bool is_known_gone = early != directory.early_departures.end();
+    if (!change.record)
+    {
+        if (!is_known_gone || early->second.revision < change.revision)
+        {
+            directory.early_departures[change.key.value] = {change.revision, now};
+        }
+        return false;
+    }
+    const target_index place = add(directory, *change.record);
+    known_target& target = directory.targets[place];
+    announce(directory, target, place, change, now);
+    vanish_if_gone(directory, target, change, now);
+    if (is_known_gone)
+    {
+        if (early->second.revision > change.revision)
+        {
+            vanish(directory, target, early->second.revision, now);
+        }
+        directory.early_departures.erase(early);
+    }
+    return true;
+}
+
 } // namespace
 
 const target_index* find_by_token(const target_directory& directory, flow_token token)
@@ -151,14 +180,7 @@
     const auto found = directory.by_key.find(change.key.value);
     if (found == directory.by_key.end())
     {
-        if (change.record)
-        {
-            const target_index place = add(directory, *change.record);
-            known_target& target = directory.targets[place];
-            announce(directory, target, place, change, now);
-            vanish_if_gone(directory, target, change, now);
-        }
-        return change.record.has_value();
+        return apply_first_change(directory, change, now);
     }
     known_target& target = directory.targets[found->second];
     if (change.revision <= target.revision)
@@ -202,6 +224,8 @@
 
 void forget_gone(target_directory& directory, time_point now)
 {
+    boost::unordered::erase_if(directory.early_departures, [&](const auto& each)
+                               { return now >= each.second.told_at + flow_memory; });
     for (target_index place = 0; place < directory.targets.size(); ++place)
     {
         known_target& each = directory.targets[place];
--- a/test/decision/flow_steering_test.cpp
+++ b/test/decision/flow_steering_test.cpp
@@ -47,6 +47,15 @@
         return placed.target;
     }
 
+    /// Opens a flow that its target answers and that ends; returns where it went.
+    target_index serve()
+    {
+        const std::uint16_t flow = next_flow;
+        const target_index target = open();
+        give(ending(flow, directory.targets[target].token));
+        return target;
+    }
+
     /// Opens flows and lets time pass until the silence of \p silent shows.
     void let_time_pass_without_answers_of(std::set<target_index> silent)
     {
@@ -159,7 +168,7 @@
     int chosen = 0;
     for (int i = 0; i < 20; ++i)
     {
-        chosen += open() == 0 ? 1 : 0;
+        chosen += serve() == 0 ? 1 : 0;
     }
     CHECK_TRUE(chosen <= 1);
 }
@@ -169,7 +178,7 @@
     let_time_pass_without_answers_of({0});
     for (int i = 0; i < 600 && is_suspect(steering.choice.evidence[0]); ++i)
     {
-        open();
+        serve();
         review_flows(steering, directory, now);
     }
     CHECK_FALSE(is_suspect(steering.choice.evidence[0]));
--- /dev/null
+++ b/test/entry/settings_test.cpp
@@ -0,0 +1,53 @@
+/// \file
+/// The settings of an entry instance.
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <settings.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpath;
+
+TEST_GROUP(entry_settings)
+{
+    const std::string whole =
+        R"({"name":"front-1","data_centre":"north","data":"10.1.0.10:8172",)"
+        R"("ready":"10.1.0.10:8167","ready_path":"/v1/ready","metrics":"10.1.0.10:9102",)"
+        R"("peer":"10.1.0.10:7720","seeds":["10.1.0.10:8166","10.2.0.40:8166"],)"
+        R"("state":"10.200.1.7:8169","peer_key":")" +
+        std::string(64, 'a') + R"("})";
+
+    std::string wrong_key(const std::string& text)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::string>
+            {
+                BOOST_LEAF_CHECK(read_entry_settings(text));
+                return std::string("none");
+            },
+            [](const entry_settings_fault& fault) { return "at " + fault.key; },
+            [] { return std::string("unknown"); });
+    }
+};
+
+TEST(entry_settings, a_whole_file_is_read)
+{
+    const auto read = read_entry_settings(whole);
+    CHECK_TRUE(static_cast<bool>(read));
+    STRCMP_EQUAL("front-1", read->name.c_str());
+    UNSIGNED_LONGS_EQUAL(8172, read->data.port);
+    UNSIGNED_LONGS_EQUAL(2, read->seeds.size());
+}
+
+TEST(entry_settings, the_key_at_fault_is_named)
+{
+    std::string text = whole;
+    STRCMP_EQUAL("at data", wrong_key(text.replace(text.find(":8172"), 5, "")).c_str());
+    text = whole;
+    STRCMP_EQUAL("at peer_key",
+                 wrong_key(text.replace(text.find("aaaa"), 4, "zzzz")).c_str());
+    text = whole;
+    STRCMP_EQUAL("at colour", wrong_key(text.replace(1, 0, R"("colour":1,)")).c_str());
+    STRCMP_EQUAL("at ", wrong_key("[").c_str());
+}
--- /dev/null
+++ b/test/platform/state_records_test.cpp
@@ -0,0 +1,118 @@
+/// \file
+/// Records of the platform's store, whole and broken.
+
+#include <platform/state_records.hpp>
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpath;
+using namespace kumquatpath::platform;
+using namespace std::chrono_literals;
+
+TEST_GROUP(state_records)
+{
+    const std::string entry =
+        R"({"service":"huvo11a","address":"10.128.0.9:8080","zone":"nbo-a","version":"v1",)"
+        R"("maxConcurrency":3,"state":"ready","warmupLeftMs":250,"sequence":4,"born":17})";
+
+    static std::string with(std::string text, const std::string& from,
+                            const std::string& to)
+    {
+        return text.replace(text.find(from), from.size(), to);
+    }
+
+    bool is_usable(const std::string& text)
+    {
+        return static_cast<bool>(parse_host_entry({1}, text));
+    }
+};
+
+TEST(state_records, a_host_entry_is_read)
+{
+    const auto record = parse_host_entry({7}, entry);
+    CHECK_TRUE(static_cast<bool>(record));
+    UNSIGNED_LONGS_EQUAL(7, record->key.value);
+    CHECK_TRUE(record->service == id_of<service_id>("huvo11a"));
+    CHECK_TRUE(record->data_centre == id_of<data_centre_id>("nbo-a"));
+    UNSIGNED_LONGS_EQUAL(8080, record->address.port);
+    UNSIGNED_LONGS_EQUAL(3, record->slots);
+    CHECK_FALSE(record->is_draining);
+    CHECK_TRUE(record->warm_up_left == 250ms);
+    UNSIGNED_LONGS_EQUAL(17, record->incarnation);
+}
+
+TEST(state_records, a_host_that_drains_is_told)
+{
+    CHECK_TRUE(parse_host_entry({7}, with(entry, "ready", "draining"))->is_draining);
+}
+
+TEST(state_records, an_entry_that_lacks_or_mistypes_a_field_names_no_host)
+{
+    for (const char* const field : {"service", "address", "zone", "maxConcurrency",
+                                    "state", "warmupLeftMs", "sequence"})
+    {
+        CHECK_FALSE(is_usable(with(entry, field, "other")));
+    }
+    CHECK_FALSE(is_usable(with(entry, R"("zone":"nbo-a")", R"("zone":5)")));
+    CHECK_FALSE(
+        is_usable(with(entry, R"("maxConcurrency":3)", R"("maxConcurrency":"3")")));
+    CHECK_FALSE(
+        is_usable(with(entry, R"("maxConcurrency":3)", R"("maxConcurrency":-3)")));
+    CHECK_FALSE(is_usable(with(entry, R"("born":17)", R"("born":1.5)")));
+    CHECK_FALSE(is_usable(with(entry, "10.128.0.9:8080", "10.128.0.9")));
+    CHECK_FALSE(is_usable(with(entry, "\"ready\"", "\"resting\"")));
+}
+
+TEST(state_records, bytes_that_are_no_entry_name_no_host)
+{
+    for (const char* const text : {"", "[]", "7", "{", "\xff\xfe", "null"})
+    {
+        CHECK_FALSE(is_usable(text));
+    }
+}
+
+TEST(state_records, a_host_id_is_its_hexadecimal_digits)
+{
+    UNSIGNED_LONGLONGS_EQUAL(0x7f3a91c2, parse_host_id("i-7f3a91c2")->value);
+    CHECK_FALSE(static_cast<bool>(parse_host_id("i-")));
+    CHECK_FALSE(static_cast<bool>(parse_host_id("i-xyz")));
+    CHECK_FALSE(static_cast<bool>(parse_host_id("i-00112233445566778")));
+}
+
+TEST(state_records, a_configuration_is_read_with_all_its_routes)
+{
+    const auto table = parse_operator_configuration(
+        R"({"version":7,"new":1,"routes":[)"
+        R"({"name":"a","host":"198.18.0.1","prefix":"/8443/","kind":"idempotent",)"
+        R"("latencyGoalMs":250,"priority":2,)"
+        R"("backends":[{"service":"x","weight":90},{"service":"y","weight":0}]},)"
+        R"({"name":"b","host":"198.18.0.1","prefix":"/8080/","kind":"non_idempotent",)"
+        R"("service":"x"}]})");
+    CHECK_TRUE(static_cast<bool>(table));
+    UNSIGNED_LONGS_EQUAL(7, (*table)->generation.value);
+    UNSIGNED_LONGS_EQUAL(2, (*table)->routes.size());
+    const route* const first = find_route(**table, {.address = 0xc6120001, .port = 8443});
+    CHECK_TRUE(first != nullptr);
+    CHECK_TRUE(first->is_repeatable);
+    CHECK_TRUE(first->latency_goal == 250ms);
+    UNSIGNED_LONGS_EQUAL(1, first->services.size());
+    const route* const second =
+        find_route(**table, {.address = 0xc6120001, .port = 8080});
+    CHECK_FALSE(second->is_repeatable);
+}
+
+TEST(state_records, a_configuration_with_a_wrong_part_is_refused_whole)
+{
+    for (
+        const char* const text :
+        {"", "{}", R"({"version":1})", R"({"version":"1","routes":[]})",
+         R"({"version":1,"routes":[5]})",
+         R"({"version":1,"routes":[{"name":"a","host":"h","prefix":"/1/","kind":"k","service":"x"}]})",
+         R"({"version":1,"routes":[{"name":"a","host":"1.2.3.4","prefix":"80","kind":"k","service":"x"}]})"})
+    {
+        CHECK_FALSE(static_cast<bool>(parse_operator_configuration(text)));
+        POINTERS_EQUAL(nullptr, read_operator_configuration(text).get());
+    }
+}
--- /dev/null
+++ b/test/platform/store_client_test.cpp
@@ -0,0 +1,161 @@
+/// \file
+/// The platform's store as a state_source, against prepared answers.
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <platform/store_client.hpp>
+#include <sodium.h>
+#include <support/canned_server.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatpath;
+using namespace kumquatpath::platform;
+using namespace kumquatpath::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string base64(const std::string& text)
+{
+    std::string out(
+        sodium_base64_encoded_len(text.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+    sodium_bin2base64(out.data(), out.size(),
+                      reinterpret_cast<const unsigned char*>(text.data()), text.size(),
+                      sodium_base64_VARIANT_ORIGINAL);
+    out.pop_back();
+    return out;
+}
+
+std::string item(const std::string& key, const std::string& value, int revision)
+{
+    return R"({"key":")" + key + R"(","value":")" + base64(value) + R"(","revision":)" +
+           std::to_string(revision) + R"(,"createdAt":1,"lease":0})";
+}
+
+const std::string host =
+    R"({"service":"x","address":"10.0.0.1:80","zone":"z","version":"v","maxConcurrency":3,)"
+    R"("state":"ready","warmupLeftMs":0,"sequence":1})";
+const std::string configuration =
+    R"({"version":7,"routes":[{"name":"a","host":"1.2.3.4","prefix":"/80/","kind":"idempotent","service":"x"}]})";
+
+/// Returns how \p call failed, or nothing.
+template <class Call>
+std::optional<state_failure> failure_of(Call call)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<state_failure>>
+        {
+            BOOST_LEAF_CHECK(call());
+            return std::optional<state_failure>();
+        },
+        [](state_failure failure) { return std::optional(failure); },
+        [] { return std::optional<state_failure>(); });
+}
+
+} // namespace
+
+TEST_GROUP(store_client){};
+
+TEST(store_client, all_pages_are_read_and_the_position_is_the_first_ones)
+{
+    canned_server server(
+        {{http_text(200, R"({"items":[)" + item("op/config", configuration, 4) + "," +
+                             item("servers/i-a", host, 5) +
+                             R"(],"hasMore":true,"at":9})"),
+          http_text(200, R"({"items":[)" + item("servers/i-b", host, 6) +
+                             R"(],"hasMore":false,"at":12})")}});
+    store_client client(server.address());
+    const auto state = client.read_all();
+    CHECK_TRUE(static_cast<bool>(state));
+    server.join();
+    UNSIGNED_LONGS_EQUAL(9, state->position.value);
+    UNSIGNED_LONGS_EQUAL(2, state->targets.size());
+    UNSIGNED_LONGS_EQUAL(0xb, state->targets[1].key.value);
+    UNSIGNED_LONGS_EQUAL(7, state->configuration->table->generation.value);
+    UNSIGNED_LONGS_EQUAL(4, state->configuration->revision.value);
+    STRCMP_EQUAL("GET /v1/kv-range?prefix=&after=servers%2Fi-a",
+                 server.requests.at(1).c_str());
+}
+
+TEST(store_client, changes_are_read_with_deletions_and_unusable_entries_as_departures)
+{
+    canned_server server({{http_text(
+        200, R"({"events":[{"key":"servers/i-a","revision":7,"deleted":true},)" +
+                 item("servers/i-b", "no entry", 8) + "," + item("other/key", "x", 9) +
+                 "," + item("servers/zz", host, 10) + R"(],"at":10})")}});
+    store_client client(server.address());
+    const auto state = client.wait_for_changes({6}, 100ms);
+    CHECK_TRUE(static_cast<bool>(state));
+    server.join();
+    UNSIGNED_LONGS_EQUAL(10, state->position.value);
+    UNSIGNED_LONGS_EQUAL(2, state->targets.size());
+    CHECK_TRUE(state->targets[0].is_gone);
+    CHECK_TRUE(state->targets[1].is_gone);
+    UNSIGNED_LONGS_EQUAL(8, state->targets[1].revision.value);
+    CHECK_FALSE(state->configuration.has_value());
+}
+
+TEST(store_client, an_unusable_configuration_is_passed_over)
+{
+    canned_server server({{http_text(200, R"({"events":[)" + item("op/config", "{}", 8) +
+                                              R"(],"at":8})")}});
+    store_client client(server.address());
+    const auto state = client.wait_for_changes({6}, 100ms);
+    CHECK_TRUE(static_cast<bool>(state));
+    CHECK_FALSE(state->configuration.has_value());
+}
+
+TEST(store_client, failures_are_told_apart)
+{
+    canned_server server(
+        {{http_text(410, "{}"), http_text(429, "{}"), http_text(503, "{}"),
+          http_text(200, "no json"), http_text(200, "{}")}});
+    store_client client(server.address());
+    const auto call = [&]
+    {
+        return client.wait_for_changes({6}, 100ms);
+    };
+    CHECK_TRUE(failure_of(call) == state_failure::history_lost);
+    CHECK_TRUE(failure_of(call) == state_failure::refused);
+    CHECK_TRUE(failure_of(call) == state_failure::refused);
+    CHECK_TRUE(failure_of(call) == state_failure::malformed);
+    CHECK_TRUE(failure_of(call) == state_failure::malformed);
+}
+
+TEST(store_client, nobody_there_is_unreachable)
+{
+    store_client client({.address = 0x7f000001, .port = 1});
+    CHECK_TRUE(failure_of([&] { return client.read_all(); }) ==
+               state_failure::unreachable);
+}
+
+TEST(store_client, a_connection_that_stays_silent_is_given_up_in_time)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor silent(context,
+                                          {boost::asio::ip::address_v4::loopback(), 0});
+    store_client client({.address = 0x7f000001, .port = silent.local_endpoint().port()});
+    const auto asked = std::chrono::steady_clock::now();
+    CHECK_TRUE(failure_of([&] { return client.wait_for_changes({6}, 100ms); }) ==
+               state_failure::unreachable);
+    CHECK_TRUE(std::chrono::steady_clock::now() - asked < 3s);
+}
+
+TEST(store_client, a_call_under_way_can_be_cancelled)
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor silent(context,
+                                          {boost::asio::ip::address_v4::loopback(), 0});
+    store_client client({.address = 0x7f000001, .port = silent.local_endpoint().port()});
+    std::jthread canceller(
+        [&]
+        {
+            std::this_thread::sleep_for(50ms);
+            client.cancel();
+        });
+    const auto asked = std::chrono::steady_clock::now();
+    CHECK_TRUE(failure_of([&] { return client.wait_for_changes({6}, 20s); }).has_value());
+    CHECK_TRUE(std::chrono::steady_clock::now() - asked < 3s);
+}
