--- a/fakes/caller.hpp
+++ b/fakes/caller.hpp
@@ -3,7 +3,8 @@
 
 /// \file
 /// The stand-in caller: opens flows at a rate, sends requests on them, and reports what
-/// became of each.
+/// became of each. A flow is opened by a packet without work, which is sent again until a
+/// target answers it.
 ///
 /// A request is sent again with the same ids until all fragments of its answer are there,
 /// it is refused, or its deadline has passed.
@@ -55,6 +56,8 @@
     std::uint64_t unknown = 0;
     std::uint64_t timed_out = 0;
     std::uint64_t flows = 0;
+    /// Flows that no target has taken.
+    std::uint64_t unopened = 0;
     std::uint64_t broken_flows = 0;
     std::uint64_t stray_answers = 0;
     std::uint64_t wrong_answers = 0;
@@ -64,7 +67,10 @@
 struct caller_flow
 {
     flow_id id;
-    /// The number of the present request, from 1.
+    /// What the target sent last; 0 until the flow is open.
+    flow_token token;
+    bool is_open = false;
+    /// The number of the present request, from 1; 0 while the flow is being opened.
     request_id request;
     time_point request_sent_at;
     bool waiting = false;
@@ -87,6 +93,7 @@
 private:
     void open_regularly();
     void open_flow();
+    void take_opening(caller_flow& flow);
     void start_request(caller_flow& flow);
     void send_request(caller_flow& flow);
     void retry(caller_flow& flow);
--- a/fakes/platform.hpp
+++ b/fakes/platform.hpp
@@ -2,8 +2,8 @@
 #define KUMQUATPATH_FAKES_PLATFORM_HPP
 
 /// \file
-/// The stand-in platform: a key-value service with compare-and-swap, leases and watches,
-/// and a lagging list of instances, over HTTP/JSON. All of it is lost when it ends.
+/// The stand-in platform: its metadata store over HTTP/JSON, as the platform publishes
+/// it. All of it is lost when it ends.
 ///
 /// Keys are made of characters that a URL carries unescaped.
 
@@ -19,11 +19,10 @@
 namespace kumquatpath::fakes
 {
 
-/// Address, lag and rates.
+/// Address and rates.
 struct platform_options
 {
     endpoint listen;
-    std::chrono::milliseconds list_lag{0};
     double writes_per_second = 0;
     double reads_per_second = 0;
 };
--- a/fakes/support/datagram_socket.hpp
+++ b/fakes/support/datagram_socket.hpp
@@ -4,8 +4,9 @@
 /// \file
 /// A UDP socket that hands on what it receives, for the stand-ins.
 
-#include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/model/bytes.hpp>
 #include <kumquatpath/model/endpoint.hpp>
+#include <kumquatpath/model/time.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address_v4.hpp>
--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -32,6 +32,8 @@
 /// What is known of a packet that a caller sent.
 struct flow_packet
 {
+    /// The same in all packets of a flow and in no other's.
+    flow_id flow;
     endpoint caller;
     /// The address that the caller sent to.
     endpoint listener;
--- a/include/kumquatpath/decision/waiting_room.hpp
+++ b/include/kumquatpath/decision/waiting_room.hpp
@@ -26,8 +26,9 @@
 struct waiting_opening
 {
     flow_packet packet;
-    /// The caller's datagram as it came.
+    /// The caller's datagram as it came, and who sent it.
     std::vector<std::byte> datagram;
+    endpoint source;
     /// When the caller first sent the opening.
     time_point begun;
     /// Until when it can be placed and still be answered in time.
--- a/include/kumquatpath/edge/fleet_codec.hpp
+++ b/include/kumquatpath/edge/fleet_codec.hpp
@@ -19,8 +19,8 @@
 /// The longest message in one TCP frame, in bytes.
 inline constexpr std::size_t longest_fleet_frame = 4U << 20U;
 
-/// Reads a message. Fails with drop_reason::unauthenticated_peer, drop_reason::malformed
-/// or drop_reason::unknown_version.
+/// Reads a message. Fails with message_fault::unauthenticated, message_fault::malformed
+/// or message_fault::unknown_version.
 boost::leaf::result<fleet_message> decode_fleet(payload_view message, const peer_key& key,
                                                 std::size_t longest);
 
--- a/include/kumquatpath/edge/key_value_store.hpp
+++ b/include/kumquatpath/edge/key_value_store.hpp
@@ -2,29 +2,21 @@
 #define KUMQUATPATH_EDGE_KEY_VALUE_STORE_HPP
 
 /// \file
-/// The platform's key-value service and its list of instances, as an interface that tests
-/// replace.
+/// The platform's key-value service, as an interface that tests replace.
 
-#include <kumquatpath/model/endpoint.hpp>
 #include <kumquatpath/model/strong.hpp>
 
 #include <boost/leaf/result.hpp>
 
-#include <chrono>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace kumquatpath
 {
 
 /// Numbers the writes of a key; it grows with each write. 0 stands for "absent".
 using revision = strong<struct revision_tag, std::uint64_t>;
-/// Identifies a lease that the platform granted.
-using lease_id = strong<struct lease_tag, std::uint64_t>;
-
 /// A failure: the platform was not reached, or said that it is down or over its rate. The
 /// call has not taken effect.
 struct store_unreachable
@@ -42,7 +34,7 @@
     revision present;
 };
 
-/// A failure: there is no such key or lease.
+/// A failure: there is no such key.
 struct store_not_found
 {
 };
@@ -62,25 +54,6 @@
     kumquatpath::revision revision;
 };
 
-/// Whether the platform believes an instance to be there.
-enum class platform_instance_state : std::uint8_t
-{
-    live,
-    leaving,
-};
-
-/// One line of the platform's list of instances, which lags behind the truth.
-struct platform_instance
-{
-    std::string name;
-    /// Where the instance hears its peers.
-    endpoint address;
-    /// Where the instance answers its operators over HTTP; "none" when it doesn't say.
-    endpoint operator_address;
-    std::string data_centre;
-    platform_instance_state state = platform_instance_state::live;
-};
-
 /// A write that takes effect only if the key is as the writer believes it to be.
 struct write_options
 {
@@ -88,8 +61,6 @@
     std::string value;
     /// The revision that the key must have; 0: the key must be absent.
     revision expected;
-    /// The key goes when this lease does.
-    std::optional<lease_id> lease;
 };
 
 /// The platform's service. Every call blocks for a bounded time. Every call may fail with
@@ -109,18 +80,6 @@
     /// Returns the value of \p key. Fails also with store_not_found.
     virtual boost::leaf::result<stored_value> read(std::string_view key) = 0;
 
-    /// Waits until the revision of \p key is over \p known, and returns the value;
-    /// returns nothing when \p wait has passed. Fails also with store_not_found.
-    virtual boost::leaf::result<std::optional<stored_value>>
-    read_newer(std::string_view key, revision known, std::chrono::milliseconds wait) = 0;
-
-    /// Returns every key that starts with \p prefix.
-    virtual boost::leaf::result<std::vector<stored_value>>
-    list(std::string_view prefix) = 0;
-
-    /// Returns the platform's list of instances.
-    virtual boost::leaf::result<std::vector<platform_instance>> instances() = 0;
-
     // Commands.
 
     /// Writes a value and returns its revision. Fails also with store_conflict.
@@ -129,16 +88,6 @@
     /// Removes \p key if its revision is \p expected. Fails also with store_conflict and
     /// store_not_found.
     virtual boost::leaf::result<void> erase(std::string_view key, revision expected) = 0;
-
-    /// Returns a new lease, which lapses \p lifetime after its last renewal.
-    virtual boost::leaf::result<lease_id>
-    grant_lease(std::chrono::milliseconds lifetime) = 0;
-
-    /// Renews \p lease. Fails also with store_not_found when it has lapsed.
-    virtual boost::leaf::result<void> renew_lease(lease_id lease) = 0;
-
-    /// Ends \p lease. Fails also with store_not_found when it has lapsed.
-    virtual boost::leaf::result<void> revoke_lease(lease_id lease) = 0;
 };
 
 } // namespace kumquatpath
--- a/include/kumquatpath/edge/packet_codec.hpp
+++ b/include/kumquatpath/edge/packet_codec.hpp
@@ -4,7 +4,8 @@
 /// \file
 /// The encoding of packets between callers, instances and targets: FlatBuffers.
 
-#include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/edge/message_fault.hpp>
+#include <kumquatpath/model/bytes.hpp>
 #include <kumquatpath/model/packet.hpp>
 
 #include <boost/leaf/result.hpp>
@@ -27,8 +28,9 @@
     payload_view payload;
 };
 
-/// Reads \p datagram. Fails with drop_reason::malformed or drop_reason::unknown_version;
-/// it never reads outside the datagram and allocates nothing.
+/// Reads \p datagram. Fails with message_fault::malformed or
+/// message_fault::unknown_version; it never reads outside the datagram and allocates
+/// nothing.
 boost::leaf::result<decoded_packet> decode_packet(payload_view datagram);
 
 /// Writes a packet into \p builder, which is cleared first, and returns the datagram. It
--- a/include/kumquatpath/edge/packet_format.hpp
+++ b/include/kumquatpath/edge/packet_format.hpp
@@ -4,8 +4,8 @@
 /// \file
 /// The form of callers' packets, as an interface that an adapter provides.
 
-#include <kumquatpath/decision/action.hpp>
 #include <kumquatpath/decision/flow_steering.hpp>
+#include <kumquatpath/model/bytes.hpp>
 
 #include <cstddef>
 #include <optional>
@@ -14,6 +14,14 @@
 namespace kumquatpath
 {
 
+/// A datagram as it came.
+struct received_packet
+{
+    payload_view datagram;
+    /// Who sent it: a caller, or the fabric before it.
+    endpoint source;
+};
+
 /// Reads packets and writes the datagrams that they become. All functions are pure.
 class packet_format
 {
@@ -25,20 +33,19 @@
     packet_format(packet_format&&) = delete;
     packet_format& operator=(packet_format&&) = delete;
 
-    /// Returns what \p datagram says, or nothing if it is no packet that a caller may
-    /// send.
-    virtual std::optional<flow_packet> read(payload_view datagram) const = 0;
+    /// Returns what \p packet says, or nothing if it is none that a caller may send.
+    virtual std::optional<flow_packet> read(const received_packet& packet) const = 0;
 
-    /// Writes the datagram that takes the packet in \p datagram to \p target and returns
-    /// its size. \p out has longest_forward bytes.
-    virtual std::size_t write_forward(payload_view datagram, const target_record& target,
-                                      flow_token token,
+    /// Writes the datagram that takes \p packet to \p target and returns its size. \p out
+    /// has longest_forward bytes.
+    virtual std::size_t write_forward(const received_packet& packet,
+                                      const target_record& target, flow_token token,
                                       std::span<std::byte> out) const = 0;
 
-    /// Writes the datagram that ends the flow of the packet in \p datagram, sets where it
-    /// goes and returns its size.
-    virtual std::size_t write_reset(payload_view datagram, std::span<std::byte> out,
-                                    endpoint& to) const = 0;
+    /// Writes the datagram that tells the caller that \p packet has opened no flow, sets
+    /// where it goes and returns its size.
+    virtual std::size_t write_refusal(const received_packet& packet,
+                                      std::span<std::byte> out, endpoint& to) const = 0;
 };
 
 /// The longest datagram that a packet_format reads or writes, in bytes.
--- a/include/kumquatpath/edge/peer_seal.hpp
+++ b/include/kumquatpath/edge/peer_seal.hpp
@@ -5,7 +5,8 @@
 /// The keyed hash before each message between instances: 16 bytes of BLAKE2b, keyed with
 /// the fleet's shared key, over the bytes that follow.
 
-#include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/edge/message_fault.hpp>
+#include <kumquatpath/model/bytes.hpp>
 
 #include <boost/leaf/result.hpp>
 
@@ -20,8 +21,8 @@
 using peer_key = std::array<unsigned char, 32>;
 
 /// Returns the bytes that \p message seals, which point into it. Fails with
-/// drop_reason::unauthenticated_peer, or drop_reason::malformed if the message is empty
-/// or longer than \p longest bytes.
+/// message_fault::unauthenticated, or message_fault::malformed if the message is empty or
+/// longer than \p longest bytes.
 boost::leaf::result<payload_view> unseal(payload_view message, const peer_key& key,
                                          std::size_t longest);
 
--- a/include/kumquatpath/edge/udp_port.hpp
+++ b/include/kumquatpath/edge/udp_port.hpp
@@ -4,7 +4,7 @@
 /// \file
 /// A UDP socket that receives and sends in batches.
 
-#include <kumquatpath/decision/action.hpp>
+#include <kumquatpath/model/bytes.hpp>
 #include <kumquatpath/model/endpoint.hpp>
 
 #include <boost/asio/io_context.hpp>
--- a/include/kumquatpath/model/routing_table.hpp
+++ b/include/kumquatpath/model/routing_table.hpp
@@ -46,6 +46,8 @@
     /// The operators' number of the configuration.
     kumquatpath::generation generation;
     boost::unordered_flat_map<std::uint64_t, route> routes;
+    /// Instances that operators withdraw: the fabric is to send them nothing.
+    std::vector<instance_id> draining_instances;
 };
 
 /// Returns the route of \p listener, or null.
--- a/src/client/client.cpp
+++ b/src/client/client.cpp
@@ -3,17 +3,17 @@
 #include "client/commands.hpp"
 #include "client/failure.hpp"
 #include "client/fleet.hpp"
-#include "client/fleet_metrics.hpp"
 #include "client/queries.hpp"
 #include "client/verb_table.hpp"
 
-#include <kumquatpath/edge/platform_client.hpp>
 #include <kumquatpath/model/configuration_check.hpp>
 
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
+#include <platform/store_client.hpp>
+
 #include <algorithm>
 #include <fstream>
 #include <iostream>
@@ -110,17 +110,38 @@
     return parse_option(options.platform, "--platform");
 }
 
-/// Returns the instances that the command line names.
-leaf::result<std::vector<platform_instance>>
-named_instances(const std::vector<std::string>& addresses)
+/// Asks the instances that the command line names, and the peers that they name. Fails
+/// with usage_fault if it names none.
+leaf::result<std::vector<instance_status>> read_fleet(const command_options& options)
 {
-    std::vector<platform_instance> list;
-    for (const std::string& each : addresses)
+    if (options.instances.empty())
+    {
+        return leaf::new_error(usage_fault{
+            "--instance",
+            "Give the operators' address of one instance, or set KUMQUATPATH_INSTANCE."});
+    }
+    std::vector<endpoint> first;
+    for (const std::string& each : options.instances)
     {
         BOOST_LEAF_AUTO(address, parse_option(each, "--instance"));
-        list.push_back({.name = each, .operator_address = address});
+        first.push_back(address);
+    }
+    return ask_fleet(first, ask_timeout);
+}
+
+/// Returns the names of the instances that answer.
+leaf::result<std::vector<std::string>> read_names(const command_options& options)
+{
+    BOOST_LEAF_AUTO(statuses, read_fleet(options));
+    std::vector<std::string> names;
+    for (const instance_status& each : statuses)
+    {
+        if (each.report)
+        {
+            names.push_back(each.report->name);
+        }
     }
-    return list;
+    return names;
 }
 
 leaf::result<exit_code> run_check(const client_context& context)
@@ -146,17 +167,22 @@
                        .now = wall_now(),
                        .may_cut_flows = options.may_cut_flows,
                        .pause = back_off};
-    switch (options.verb)
+    if (options.verb == verb::drain || options.verb == verb::undrain)
+    {
+        state_change change{.kind = options.kind,
+                            .names = options.names,
+                            .state = options.verb == verb::drain
+                                         ? administrative_state::draining
+                                         : administrative_state::active};
+        if (options.kind == drain_kind::instance && options.verb == verb::drain)
+        {
+            BOOST_LEAF_ASSIGN(change.known_instances, read_names(options));
+        }
+        return change_state(store, change, by);
+    }
+    if (options.verb == verb::rollback)
     {
-    case verb::drain:
-        return change_state(store, {options.kind, options.names}, by);
-    case verb::undrain:
-        return change_state(
-            store, {options.kind, options.names, administrative_state::active}, by);
-    case verb::rollback:
         return roll_back(store, *options.generation, by);
-    default:
-        break;
     }
     BOOST_LEAF_AUTO(text, read_file(options.file));
     return apply(store, text, options.base, by);
@@ -192,15 +218,8 @@
     context.out << "Published generation " << result.published.value << ".\n";
 }
 
-leaf::result<std::vector<instance_status>> read_fleet(key_value_store& store)
-{
-    BOOST_LEAF_AUTO(instances, store.instances());
-    return read_statuses(ask_instances(instances, "/v1/status", ask_timeout));
-}
-
 /// Waits until every instance that can be reached has \p wanted in force.
-exit_code wait_until_in_force(const client_context& context, key_value_store& store,
-                              generation wanted)
+exit_code wait_until_in_force(const client_context& context, generation wanted)
 {
     std::ostream& out = context.options.json ? context.errors : context.out;
     const auto end = std::chrono::steady_clock::now() + context.options.timeout;
@@ -210,7 +229,7 @@
         const auto progress = leaf::try_handle_all(
             [&]() -> leaf::result<std::optional<generation_progress>>
             {
-                BOOST_LEAF_AUTO(statuses, read_fleet(store));
+                BOOST_LEAF_AUTO(statuses, read_fleet(context.options));
                 return std::optional(progress_of(statuses, wanted));
             },
             [] { return std::optional<generation_progress>(); });
@@ -235,49 +254,32 @@
     tell(context, result);
     if (context.options.wait)
     {
-        return wait_until_in_force(context, store, result.published);
+        return wait_until_in_force(context, result.published);
     }
     return exit_code::success;
 }
 
-void tell_metrics(const client_context& context,
-                  const std::vector<platform_instance>& instances)
+leaf::result<exit_code> run_metrics(const client_context& context)
 {
-    const auto answers = ask_instances(instances, "/v1/metrics.json", ask_timeout);
-    print_metrics(context.out, add_up(answers), context.options.json);
+    BOOST_LEAF_AUTO(statuses, read_fleet(context.options));
+    const auto pages = ask_pages(statuses, "/metrics", ask_timeout);
+    for (std::size_t i = 0; i < pages.size(); ++i)
+    {
+        context.out << "# " << name_of(statuses[i]) << '\n' << pages[i];
+    }
+    return exit_code::success;
 }
 
-exit_code tell_status(const client_context& context,
-                      const std::vector<instance_status>& statuses, generation in_force)
+leaf::result<exit_code> run_status(const client_context& context)
 {
+    BOOST_LEAF_AUTO(statuses, read_fleet(context.options));
+    const generation in_force = latest_of(statuses);
     print_status(context.out, statuses, in_force, context.options.json);
     const generation_progress progress = progress_of(statuses, in_force);
     const bool is_whole = progress.behind.empty() && progress.unreachable.empty();
     return is_whole ? exit_code::success : exit_code::refused;
 }
 
-leaf::result<exit_code> run_status(const client_context& context, key_value_store& store)
-{
-    BOOST_LEAF_AUTO(current, read_current(store));
-    const generation in_force = current ? current->envelope.generation : generation{};
-    BOOST_LEAF_AUTO(statuses, read_fleet(store));
-    return tell_status(context, statuses, in_force);
-}
-
-/// Answers status or metrics from the instances that the command line names.
-leaf::result<exit_code> run_without_platform(const client_context& context)
-{
-    BOOST_LEAF_AUTO(instances, named_instances(context.options.instances));
-    if (context.options.verb == verb::metrics)
-    {
-        tell_metrics(context, instances);
-        return exit_code::success;
-    }
-    const auto statuses =
-        read_statuses(ask_instances(instances, "/v1/status", ask_timeout));
-    return tell_status(context, statuses, latest_of(statuses));
-}
-
 leaf::result<exit_code> run_query(const client_context& context, key_value_store& store)
 {
     const command_options& options = context.options;
@@ -302,14 +304,8 @@
         print_history(context.out, lines, options.json);
         break;
     }
-    case verb::metrics:
-    {
-        BOOST_LEAF_AUTO(instances, store.instances());
-        tell_metrics(context, instances);
-        break;
-    }
     default:
-        return run_status(context, store);
+        break;
     }
     return exit_code::success;
 }
@@ -320,12 +316,16 @@
     {
         return run_check(context);
     }
-    if (!context.options.instances.empty())
+    if (context.options.verb == verb::status)
+    {
+        return run_status(context);
+    }
+    if (context.options.verb == verb::metrics)
     {
-        return run_without_platform(context);
+        return run_metrics(context);
     }
     BOOST_LEAF_AUTO(address, platform_address(context.options));
-    platform_client store({.server = address});
+    platform::store_client store(address);
     return is_command(context.options.verb) ? run_command(context, store)
                                             : run_query(context, store);
 }
--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -88,6 +88,10 @@
         options.timeout = std::chrono::seconds(timeout_.getValue());
         options.last = last_.getValue();
         options.instances = instances_.getValue();
+        if (options.instances.empty() && !environment.instance.empty())
+        {
+            options.instances.push_back(environment.instance);
+        }
         if (base_.isSet())
         {
             options.base = generation{base_.getValue()};
--- a/src/client/command_line.hpp
+++ b/src/client/command_line.hpp
@@ -65,7 +65,7 @@
     bool wait = false;
     /// How long --wait lasts.
     std::chrono::seconds timeout{60};
-    /// Operators' addresses of instances to ask in place of those on the platform's list.
+    /// Operators' addresses of instances to ask; their peers are asked too.
     std::vector<std::string> instances;
     /// How many generations the history shows.
     std::uint64_t last = 20;
@@ -90,6 +90,7 @@
 struct command_environment
 {
     std::string platform;
+    std::string instance;
     std::string user;
 };
 
--- a/src/client/commands.hpp
+++ b/src/client/commands.hpp
@@ -42,6 +42,9 @@
     drain_kind kind = drain_kind::target;
     std::vector<std::string> names;
     administrative_state state = administrative_state::draining;
+    /// The instances that answered; others can't be drained, as a document takes any
+    /// name.
+    std::vector<std::string> known_instances;
 };
 
 /// Publishes the configuration in force with the state of some objects changed. Fails as
--- a/src/client/fleet.cpp
+++ b/src/client/fleet.cpp
@@ -2,13 +2,14 @@
 
 #include <kumquatpath/edge/http_client.hpp>
 
+#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
 #include <atomic>
-#include <map>
+#include <set>
 #include <thread>
 
 namespace kumquatpath
@@ -21,140 +22,154 @@
 
 constexpr std::size_t most_askers = 32;
 constexpr unsigned status_ok = 200;
+constexpr std::string_view status_path = "/v1/status";
 
-std::optional<json::value> ask(const platform_instance& instance, std::string_view path,
-                               std::chrono::milliseconds timeout)
+std::string ask(const endpoint& instance, std::string_view path,
+                std::chrono::milliseconds timeout)
 {
-    using body = std::optional<json::value>;
-    http_client client(instance.operator_address);
+    http_client client(instance);
     return leaf::try_handle_all(
-        [&]() -> leaf::result<body>
+        [&]() -> leaf::result<std::string>
         {
             BOOST_LEAF_AUTO(
                 answer, client.call({.target = std::string(path), .timeout = timeout}));
-            json::error_code error;
-            json::value read = json::parse(answer.body, error);
-            return error || answer.status != status_ok ? body() : body(std::move(read));
+            return answer.status == status_ok ? std::move(answer.body) : std::string();
         },
-        [] { return body(); });
+        [] { return std::string(); });
 }
 
-std::string text_in(const json::value& whole, std::string_view key)
+/// Asks all of \p instances for \p path, several at a time.
+std::vector<std::string> ask_all(const std::vector<endpoint>& instances,
+                                 std::string_view path, std::chrono::milliseconds timeout)
 {
-    const json::object* const object = whole.if_object();
-    const json::value* const value =
-        object == nullptr ? nullptr : object->if_contains({key.data(), key.size()});
-    if (value == nullptr || !value->is_string())
+    std::vector<std::string> pages(instances.size());
+    std::atomic<std::size_t> next{0};
+    std::vector<std::jthread> askers;
+    for (std::size_t i = 0; i < std::min(most_askers, instances.size()); ++i)
     {
-        return "";
+        askers.emplace_back(
+            [&]
+            {
+                for (std::size_t at = next++; at < instances.size(); at = next++)
+                {
+                    pages[at] = ask(instances[at], path, timeout);
+                }
+            });
     }
-    return {value->get_string().data(), value->get_string().size()};
+    askers.clear();
+    return pages;
 }
 
-bool flag_in(const json::object& object, json::string_view key, bool fallback)
+std::string text_in(const json::object& object, std::string_view key)
 {
     const json::value* const value = object.if_contains(key);
-    return value != nullptr && value->is_bool() ? value->get_bool() : fallback;
+    return value != nullptr && value->is_string() ? std::string(value->get_string()) : "";
 }
 
-json::array array_in(const json::object& object, json::string_view key)
+bool flag_in(const json::object& object, std::string_view key)
 {
     const json::value* const value = object.if_contains(key);
-    return value != nullptr && value->is_array() ? value->get_array() : json::array();
+    return value != nullptr && value->is_bool() && value->get_bool();
 }
 
-/// The names of instances by the text that stands for an id in their answers.
-using id_names = std::map<std::string, std::string, std::less<>>;
-
-/// An instance knows others by id only; the platform's list knows their names.
-id_names names_of(const std::vector<instance_answer>& answers)
+std::uint64_t number_in(const json::object& object, std::string_view key)
 {
-    id_names names;
-    for (const instance_answer& each : answers)
-    {
-        const std::string& name = each.instance.name;
-        names['#' + std::to_string(id_of<instance_id>(name).value)] = name;
-    }
-    return names;
+    const json::value* const value = object.if_contains(key);
+    json::error_code failure;
+    return value == nullptr ? 0 : value->to_number<std::uint64_t>(failure);
 }
 
-std::optional<generation> generation_in(const json::object& object, json::string_view key)
+std::vector<endpoint> endpoints_in(const json::object& object, std::string_view key)
 {
-    const json::value* const value = object.if_contains(key);
-    if (value == nullptr)
+    std::vector<endpoint> endpoints;
+    const json::value* const list = object.if_contains(key);
+    if (list == nullptr || !list->is_array())
     {
-        return std::nullopt;
+        return endpoints;
+    }
+    for (const json::value& each : list->get_array())
+    {
+        auto parsed = parse_endpoint(each.is_string() ? std::string(each.get_string())
+                                                      : std::string());
+        if (parsed)
+        {
+            endpoints.push_back(*parsed);
+        }
     }
-    json::error_code error;
-    const auto number = value->to_number<std::uint64_t>(error);
-    return error ? std::nullopt : std::optional(generation{number});
+    return endpoints;
 }
 
-std::optional<instance_report> read_report(const json::value& body, const id_names& names)
+} // namespace
+
+std::optional<instance_report> read_report(std::string_view page)
 {
-    const json::object* const object = body.if_object();
-    const auto accepted =
-        object == nullptr ? std::nullopt : generation_in(*object, "generation");
-    const auto switched =
-        object == nullptr ? std::nullopt : generation_in(*object, "switched");
-    if (!accepted || !switched)
+    json::error_code failure;
+    const json::value whole =
+        json::parse(json::string_view(page.data(), page.size()), failure);
+    if (failure || !whole.is_object() || !whole.get_object().contains("generation"))
     {
         return std::nullopt;
     }
-    instance_report report{.generation = *accepted,
-                           .switched = *switched,
-                           .is_leaving = flag_in(*object, "leaving", false),
-                           .may_claim = flag_in(*object, "claims", true)};
-    for (const json::value& each : array_in(*object, "members"))
-    {
-        const std::string instance = text_in(each, "instance");
-        const auto name = names.find(instance);
-        report.members.push_back(
-            {name == names.end() ? instance : name->second, text_in(each, "state")});
-    }
-    for (const json::value& each : array_in(*object, "drains"))
-    {
-        report.drains.push_back(
-            {text_in(each, "kind"), text_in(each, "name"), text_in(each, "waits_for")});
-    }
-    return report;
+    const json::object& object = whole.get_object();
+    return instance_report{
+        .name = text_in(object, "instance"),
+        .data_centre = text_in(object, "data_centre"),
+        .generation = {number_in(object, "generation")},
+        .state_age = std::chrono::milliseconds(number_in(object, "state_age_ms")),
+        .is_ready = flag_in(object, "ready"),
+        .is_leaving = flag_in(object, "leaving"),
+        .flows = number_in(object, "flows"),
+        .targets = number_in(object, "targets"),
+        .suspects = number_in(object, "suspects"),
+        .peers = endpoints_in(object, "peers")};
 }
 
-} // namespace
-
-std::vector<instance_answer> ask_instances(const std::vector<platform_instance>& list,
-                                           std::string_view path,
-                                           std::chrono::milliseconds timeout)
+std::vector<instance_status> ask_fleet(const std::vector<endpoint>& first,
+                                       std::chrono::milliseconds timeout)
 {
-    std::vector<instance_answer> answers(list.size());
-    std::atomic<std::size_t> next = 0;
-    const auto work = [&]
+    std::vector<instance_status> statuses;
+    std::set<endpoint> known(first.begin(), first.end());
+    std::vector<endpoint> wanted(first.begin(), first.end());
+    while (!wanted.empty())
     {
-        for (std::size_t i = next++; i < list.size(); i = next++)
+        const auto pages = ask_all(wanted, status_path, timeout);
+        std::vector<endpoint> found;
+        for (std::size_t i = 0; i < wanted.size(); ++i)
         {
-            answers[i] = {list[i], ask(list[i], path, timeout)};
+            statuses.push_back({.address = wanted[i], .report = read_report(pages[i])});
+            const auto& report = statuses.back().report;
+            for (const endpoint& peer : report ? report->peers : std::vector<endpoint>())
+            {
+                if (known.insert(peer).second)
+                {
+                    found.push_back(peer);
+                }
+            }
         }
-    };
-    std::vector<std::jthread> askers;
-    for (std::size_t i = 0; i < std::min(list.size(), most_askers); ++i)
-    {
-        askers.emplace_back(work);
+        wanted = std::move(found);
     }
-    askers.clear();
-    return answers;
+    std::ranges::sort(statuses, {},
+                      [](const instance_status& each)
+                      { return std::pair(name_of(each), each.address); });
+    return statuses;
 }
 
-std::vector<instance_status> read_statuses(const std::vector<instance_answer>& answers)
+std::vector<std::string> ask_pages(const std::vector<instance_status>& instances,
+                                   std::string_view path,
+                                   std::chrono::milliseconds timeout)
 {
-    const id_names names = names_of(answers);
-    std::vector<instance_status> statuses;
-    statuses.reserve(answers.size());
-    for (const instance_answer& each : answers)
+    std::vector<endpoint> addresses;
+    addresses.reserve(instances.size());
+    for (const instance_status& each : instances)
     {
-        statuses.push_back(
-            {each.instance, each.body ? read_report(*each.body, names) : std::nullopt});
+        addresses.push_back(each.address);
     }
-    return statuses;
+    return ask_all(addresses, path, timeout);
+}
+
+std::string name_of(const instance_status& status)
+{
+    return status.report ? status.report->name : to_string(status.address);
 }
 
 generation_progress progress_of(const std::vector<instance_status>& statuses,
@@ -165,33 +180,33 @@
     {
         if (!each.report)
         {
-            progress.unreachable.push_back(each.instance.name);
+            progress.unreachable.push_back(name_of(each));
         }
-        else if (each.report->switched >= wanted)
+        else if (each.report->generation >= wanted)
         {
             ++progress.in_force;
         }
         else
         {
-            progress.behind.push_back(each.instance.name);
+            progress.behind.push_back(name_of(each));
         }
     }
     return progress;
 }
 
+bool is_complete(const generation_progress& progress)
+{
+    return progress.in_force > 0 && progress.behind.empty();
+}
+
 generation latest_of(const std::vector<instance_status>& statuses)
 {
     generation latest;
     for (const instance_status& each : statuses)
     {
-        latest = std::max(latest, each.report ? each.report->generation : generation{});
+        latest = each.report ? std::max(latest, each.report->generation) : latest;
     }
     return latest;
 }
 
-bool is_complete(const generation_progress& progress)
-{
-    return progress.in_force > 0 && progress.behind.empty();
-}
-
 } // namespace kumquatpath
--- a/src/client/fleet.hpp
+++ b/src/client/fleet.hpp
@@ -3,13 +3,12 @@
 
 /// \file
 /// What the instances tell their operators, and how far a generation has got among them.
+///
+/// One instance is enough to find all: each names the peers that it hears.
 
-#include <kumquatpath/edge/key_value_store.hpp>
+#include <kumquatpath/model/endpoint.hpp>
 #include <kumquatpath/model/ids.hpp>
 
-#include <boost/json/value.hpp>
-#include <boost/leaf/result.hpp>
-
 #include <chrono>
 #include <cstdint>
 #include <iosfwd>
@@ -21,66 +20,55 @@
 namespace kumquatpath
 {
 
-/// What one instance answered, or that it didn't.
-struct instance_answer
-{
-    platform_instance instance;
-    /// The JSON that it sent; nothing when it was not reached or not understood.
-    std::optional<boost::json::value> body;
-};
-
-/// Asks every instance for \p path on its operators' port, several at a time, and waits
-/// for each for at most \p timeout.
-std::vector<instance_answer> ask_instances(const std::vector<platform_instance>& list,
-                                           std::string_view path,
-                                           std::chrono::milliseconds timeout);
-
-/// Another instance as one instance sees it.
-struct seen_member
-{
-    std::string instance;
-    std::string state;
-};
-
-/// A drain in progress on one instance.
-struct seen_drain
-{
-    std::string kind;
-    std::string name;
-    std::string waits_for;
-};
-
 /// What one instance says of itself.
 struct instance_report
 {
-    /// The latest generation that it has accepted.
+    std::string name;
+    std::string data_centre;
+    /// The generation that its packets follow; 0 before the first.
     kumquatpath::generation generation;
-    /// The generation that its packets follow.
-    kumquatpath::generation switched;
+    /// How long ago its view of configuration and targets was known to be true.
+    std::chrono::milliseconds state_age{0};
+    bool is_ready = false;
     bool is_leaving = false;
-    /// Whether it may claim submissions that may not be repeated; it refuses them if not.
-    bool may_claim = true;
-    std::vector<seen_member> members;
-    std::vector<seen_drain> drains;
+    std::uint64_t flows = 0;
+    std::uint64_t targets = 0;
+    /// Targets that leave openings unanswered.
+    std::uint64_t suspects = 0;
+    /// Where the peers that it hears answer their operators.
+    std::vector<endpoint> peers;
 };
 
 /// One instance, and its report if it could be had.
 struct instance_status
 {
-    platform_instance instance;
+    endpoint address;
     std::optional<instance_report> report;
 };
 
-/// Reads the report in each answer; one that is not understood is left out.
-std::vector<instance_status> read_statuses(const std::vector<instance_answer>& answers);
+/// Reads the page that an instance serves; nothing if it isn't understood.
+std::optional<instance_report> read_report(std::string_view page);
+
+/// Asks \p first and every peer that they name, and waits for each for at most \p
+/// timeout.
+std::vector<instance_status> ask_fleet(const std::vector<endpoint>& first,
+                                       std::chrono::milliseconds timeout);
+
+/// Returns the text of \p path on each of \p instances; empty where none came.
+std::vector<std::string> ask_pages(const std::vector<instance_status>& instances,
+                                   std::string_view path,
+                                   std::chrono::milliseconds timeout);
+
+/// Returns the instance's name, or its address if it did not answer.
+std::string name_of(const instance_status& status);
 
 /// How far a generation has got.
 struct generation_progress
 {
     std::size_t in_force = 0;
-    /// Instances that were reached and don't have it in force yet, by name.
+    /// Instances that answered and don't have it in force yet, by name.
     std::vector<std::string> behind;
-    /// Instances that were not reached, by name.
+    /// Instances that did not answer, by address.
     std::vector<std::string> unreachable;
 };
 
@@ -88,14 +76,14 @@
 generation_progress progress_of(const std::vector<instance_status>& statuses,
                                 generation wanted);
 
-/// Returns whether every instance that was reached, and at least one, has it in force.
+/// Returns whether every instance that answered, and at least one, has it in force.
 bool is_complete(const generation_progress& progress);
 
-/// Returns the latest generation that any instance has accepted.
+/// Returns the latest generation that any instance has in force.
 generation latest_of(const std::vector<instance_status>& statuses);
 
-/// Prints a table of the instances, their members and drains, or JSON. \p in_force is the
-/// latest generation that is known.
+/// Prints a table of the instances, or JSON. \p in_force is the latest generation that is
+/// known.
 void print_status(std::ostream& out, const std::vector<instance_status>& statuses,
                   generation in_force, bool as_json);
 
--- a/src/client/fleet_output.cpp
+++ b/src/client/fleet_output.cpp
@@ -1,18 +1,11 @@
-/// \file
-/// How the state of the instances is printed.
-
 #include "client/fleet.hpp"
 
-#include <boost/algorithm/string/join.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
-#include <algorithm>
 #include <iomanip>
-#include <map>
 #include <ostream>
-#include <set>
 
 namespace kumquatpath
 {
@@ -21,99 +14,55 @@
 
 namespace json = boost::json;
 
-json::object to_json(const instance_status& status)
-{
-    json::object line = {{"instance", status.instance.name},
-                         {"data_centre", status.instance.data_centre},
-                         {"listed", status.instance.state == platform_instance_state::live
-                                        ? "live"
-                                        : "leaving"},
-                         {"reached", status.report.has_value()}};
-    if (!status.report)
-    {
-        return line;
-    }
-    line["generation"] = status.report->generation.value;
-    line["switched"] = status.report->switched.value;
-    line["leaving"] = status.report->is_leaving;
-    line["claims"] = status.report->may_claim;
-    json::array members;
-    for (const seen_member& each : status.report->members)
-    {
-        members.push_back(
-            json::object{{"instance", each.instance}, {"state", each.state}});
-    }
-    line["members"] = std::move(members);
-    json::array drains;
-    for (const seen_drain& each : status.report->drains)
-    {
-        drains.push_back(json::object{
-            {"kind", each.kind}, {"name", each.name}, {"waits_for", each.waits_for}});
-    }
-    line["drains"] = std::move(drains);
-    return line;
-}
+constexpr int name_width = 24;
+constexpr int word_width = 14;
+constexpr int number_width = 12;
 
-std::string state_of(const instance_status& status, generation in_force)
+std::string_view state_of(const instance_report& report)
 {
-    if (!status.report)
-    {
-        return "NOT REACHED";
-    }
-    if (status.report->is_leaving)
+    if (report.is_leaving)
     {
         return "leaving";
     }
-    if (status.report->generation < in_force)
-    {
-        return "BEHIND";
-    }
-    if (status.report->switched < in_force)
-    {
-        return "switching";
-    }
-    return status.report->may_claim ? "ok" : "no claims";
+    return report.is_ready ? "ready" : "not ready";
 }
 
-/// Returns "8 alive, 1 suspect (entry-4)"; the names are those of all that are not alive.
-std::string members_of(const instance_status& status)
+json::object json_of(const instance_status& status)
 {
-    if (!status.report)
-    {
-        return "-";
-    }
-    std::map<std::string, std::vector<std::string>> by_state;
-    for (const seen_member& each : status.report->members)
-    {
-        by_state[each.state].push_back(each.instance);
-    }
-    std::string text;
-    for (const auto& [state, names] : by_state)
-    {
-        text += (text.empty() ? "" : ", ") + std::to_string(names.size()) + ' ' + state;
-        text += state == "alive" ? "" : " (" + boost::algorithm::join(names, " ") + ')';
-    }
-    return text.empty() ? "none" : text;
+    json::object object = {{"address", to_string(status.address)},
+                           {"reached", status.report.has_value()}};
+    if (status.report)
+    {
+        const instance_report& report = *status.report;
+        object["instance"] = report.name;
+        object["data_centre"] = report.data_centre;
+        object["generation"] = report.generation.value;
+        object["state_age_ms"] = report.state_age.count();
+        object["state"] = state_of(report);
+        object["flows"] = report.flows;
+        object["targets"] = report.targets;
+        object["suspects"] = report.suspects;
+        object["peers"] = report.peers.size();
+    }
+    return object;
 }
 
-void print_drains(std::ostream& out, const std::vector<instance_status>& statuses)
+void print_line(std::ostream& out, const instance_status& status, generation in_force)
 {
-    bool found = false;
-    for (const instance_status& status : statuses)
-    {
-        for (const seen_drain& each :
-             status.report ? status.report->drains : std::vector<seen_drain>())
-        {
-            out << (found ? "" : "\nDrains in progress:\n") << "  " << each.kind << ' '
-                << each.name << " on " << status.instance.name << " waits for "
-                << each.waits_for << '\n';
-            found = true;
-        }
-    }
-    if (!found)
+    out << std::left << std::setw(name_width) << name_of(status);
+    if (!status.report)
     {
-        out << "\nNo drain in progress.\n";
+        out << "not reached\n";
+        return;
     }
+    const instance_report& report = *status.report;
+    out << std::setw(word_width) << report.data_centre << std::setw(word_width)
+        << state_of(report) << std::right << std::setw(number_width)
+        << report.generation.value << std::setw(number_width) << report.state_age.count()
+        << std::setw(number_width) << report.flows << std::setw(number_width)
+        << report.targets << std::setw(number_width) << report.suspects
+        << std::setw(number_width) << report.peers.size()
+        << (report.generation < in_force ? "  behind" : "") << "\n";
 }
 
 void print_names(std::ostream& out, std::string_view what,
@@ -123,12 +72,12 @@
     {
         return;
     }
-    out << "  " << what << ':';
+    out << "  " << what << ":";
     for (const std::string& each : names)
     {
-        out << ' ' << each;
+        out << " " << each;
     }
-    out << '\n';
+    out << "\n";
 }
 
 } // namespace
@@ -141,40 +90,26 @@
         json::array list;
         for (const instance_status& each : statuses)
         {
-            list.push_back(to_json(each));
+            list.push_back(json_of(each));
         }
-        out << json::serialize(json::object{{"generation", in_force.value},
-                                            {"instances", std::move(list)}})
+        out << json::serialize(
+                   json::object{{"generation", in_force.value}, {"instances", list}})
             << '\n';
         return;
     }
-    std::size_t widest = std::string_view("instance").size();
-    std::size_t widest_centre = std::string_view("data centre").size();
-    for (const instance_status& each : statuses)
+    out << "generation " << in_force.value << "\n";
+    out << std::left << std::setw(name_width) << "instance" << std::setw(word_width)
+        << "data centre" << std::setw(word_width) << "state" << std::right;
+    for (const char* const column :
+         {"generation", "age ms", "flows", "targets", "suspects", "peers"})
     {
-        widest = std::max(widest, each.instance.name.size());
-        widest_centre = std::max(widest_centre, each.instance.data_centre.size());
+        out << std::setw(number_width) << column;
     }
-    constexpr int number_width = 12;
-    constexpr int state_width = 13;
-    const auto line = [&](const std::string& name, const std::string& data_centre,
-                          const std::string& number, const std::string& state,
-                          const std::string& members)
-    {
-        out << std::left << std::setw(static_cast<int>(widest + 2)) << name
-            << std::setw(static_cast<int>(widest_centre + 2)) << data_centre
-            << std::setw(number_width) << number << std::setw(state_width) << state
-            << members << '\n';
-    };
-    out << "The latest generation is " << in_force.value << ".\n\n";
-    line("instance", "data centre", "generation", "state", "members");
+    out << "\n";
     for (const instance_status& each : statuses)
     {
-        line(each.instance.name, each.instance.data_centre,
-             each.report ? std::to_string(each.report->generation.value) : "-",
-             state_of(each, in_force), members_of(each));
+        print_line(out, each, in_force);
     }
-    print_drains(out, statuses);
 }
 
 void print_progress(std::ostream& out, const generation_progress& progress,
@@ -182,11 +117,10 @@
 {
     const std::size_t all =
         progress.in_force + progress.behind.size() + progress.unreachable.size();
-    out << "Generation " << wanted.value << " is in force on " << progress.in_force
-        << " of " << all << " instances.\n";
-    print_names(out, "not yet", progress.behind);
+    out << "generation " << wanted.value << " is in force on " << progress.in_force
+        << " of " << all << " instances\n";
+    print_names(out, "behind", progress.behind);
     print_names(out, "not reached", progress.unreachable);
-    out.flush();
 }
 
 } // namespace kumquatpath
--- a/src/client/main.cpp
+++ b/src/client/main.cpp
@@ -22,6 +22,7 @@
     const std::vector<std::string> arguments(argv + 1, argv + argc);
     const kumquatpath::command_environment environment{
         .platform = environment_value("KUMQUATPATH_PLATFORM"),
+        .instance = environment_value("KUMQUATPATH_INSTANCE"),
         .user = environment_value("USER")};
     return static_cast<int>(
         kumquatpath::run_client(arguments, environment, std::cout, std::cerr));
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -22,7 +22,7 @@
         .word = "apply",
         .is_command = true,
         .arguments = takes(argument::file, argument::base, argument::wait,
-                           argument::author, argument::cut_flows),
+                           argument::author, argument::cut_flows, argument::instances),
         .synopsis = "apply FILE [--base GENERATION] [--wait] [--timeout SECONDS]",
         .summary = "submit a whole configuration",
         .help =
@@ -37,7 +37,7 @@
 
 A target that open flows may rest on can't be removed or moved: drain it first, and remove
 it when the longest flow lifetime is over, or with --cut-flows as soon as
-`kumquatpath status` shows that its drain waits for nothing.
+`kumquatpath metrics` shows no flow of it.
 
 If the platform's answer is lost, the client reads back whether its submission took
 effect, and says so.
@@ -58,13 +58,14 @@
         .verb = verb::drain,
         .word = "drain",
         .is_command = true,
-        .arguments = takes(argument::object, argument::wait, argument::author),
+        .arguments = takes(argument::object, argument::wait, argument::author,
+                           argument::instances),
         .synopsis = "drain KIND NAME... [--wait] [--timeout SECONDS]",
         .summary = "withdraw targets, instances or data centres",
         .help =
             R"(Publishes one new generation in which the objects take no new flows; open flows go on to
-their end. KIND is target, instance or data-centre. `kumquatpath status` shows what the
-drain still waits for. It is refused when a service would be left without a target, or when
+their end. KIND is target, instance or data-centre. `kumquatpath metrics` shows the flows
+that each target still has. It is refused when a service would be left without a target, or when
 the targets of one service change for the ninth time within its flow lifetime: name several
 objects at once to change them together.
 
@@ -80,7 +81,8 @@
         .verb = verb::undrain,
         .word = "undrain",
         .is_command = true,
-        .arguments = takes(argument::object, argument::wait, argument::author),
+        .arguments = takes(argument::object, argument::wait, argument::author,
+                           argument::instances),
         .synopsis = "undrain KIND NAME... [--wait] [--timeout SECONDS]",
         .summary = "let drained objects take new flows again",
         .help =
@@ -99,7 +101,7 @@
         .word = "rollback",
         .is_command = true,
         .arguments = takes(argument::past_generation, argument::wait, argument::author,
-                           argument::cut_flows),
+                           argument::cut_flows, argument::instances),
         .synopsis = "rollback GENERATION [--wait] [--timeout SECONDS]",
         .summary = "submit an earlier configuration again",
         .help =
@@ -178,48 +180,45 @@
         .word = "status",
         .arguments = takes(argument::instances),
         .synopsis = "status [--instance ip:port]...",
-        .summary = "show what is in force where, members and drains",
+        .summary = "show which instances serve, and what is in force where",
         .help =
-            R"(Asks every instance on the platform's list for the generation that it has in force,
-the members that it sees, and the drains in progress with what each still waits for.
-Ends with 1 if an instance is behind or can't be reached. The states are:
-  ok           its packets follow the latest generation
-  switching    it has that generation, and its packets will follow it in a moment
-  BEHIND       it has an earlier generation
-  no claims    it refuses submissions that may not be repeated, as it holds no claim
+            R"(Asks the instances that are named, and every peer that they hear, for the generation
+that they have in force, the age of what they know, their flows and their targets. It asks
+instances only, so it works while the platform is away. Ends with 1 if an instance is
+behind or can't be reached. The states are:
+  ready        the fabric may send it packets
+  not ready    it has no configuration or no targets yet, or it is being withdrawn
   leaving      it is shutting down and finishes what it has
-  NOT REACHED  it did not answer within a second
 
-  --instance ip:port  ask this instance at its operators' address, and not the platform;
-                      may be given several times, also while the platform is away
+  --instance ip:port  an instance's operators' address; may be given several times; also
+                      $KUMQUATPATH_INSTANCE
 
 Examples:
-  kumquatpath status
+  kumquatpath status --instance 127.0.0.1:9102
   kumquatpath status --json
-  kumquatpath status --instance 127.0.0.1:9600 --instance 127.0.0.2:9600
 )"},
     verb_entry{
         .verb = verb::metrics,
         .word = "metrics",
         .arguments = takes(argument::instances),
         .synopsis = "metrics [--instance ip:port]...",
-        .summary = "show answer times by service and class, and counters",
+        .summary = "show counters and histograms of every instance",
         .help =
-            R"(Adds up the histograms and counters of every instance that can be reached and shows
-them as bars and quantiles, by service and class.
+            R"(Prints the metrics page of every instance that `kumquatpath status` finds, each after a
+line with its name.
 
-  --instance ip:port  ask this instance at its operators' address, and not the platform;
-                      may be given several times, also while the platform is away
+  --instance ip:port  an instance's operators' address; may be given several times; also
+                      $KUMQUATPATH_INSTANCE
 
 Examples:
-  kumquatpath metrics
-  kumquatpath metrics --json
+  kumquatpath metrics --instance 127.0.0.1:9102
 )"},
 };
 
 constexpr std::string_view common_help = R"(
 Options of all commands and queries:
   --platform ip:port  the platform's address; also $KUMQUATPATH_PLATFORM
+  --instance ip:port  an instance to ask, for status, metrics, drain instance and --wait
   --json              print JSON
   --help              help on one command: kumquatpath apply --help
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,6 +1,13 @@
 #include "daemon.hpp"
 
+#include <kumquatpath/edge/log.hpp>
+
+#include <boost/leaf/handle_errors.hpp>
+
 #include <csignal>
+#include <fstream>
+#include <iterator>
+#include <random>
 #include <thread>
 
 namespace kumquatpath
@@ -9,106 +16,104 @@
 {
 
 constexpr std::size_t inbox_capacity = 256;
-constexpr std::chrono::milliseconds roster_timeout{1000};
 
-std::uint32_t jitter_seed(const daemon_settings& settings)
+std::uint64_t random_incarnation()
 {
-    return static_cast<std::uint32_t>(hash_name(settings.name));
+    std::random_device source;
+    return (static_cast<std::uint64_t>(source()) << 32U) | source();
 }
 
 } // namespace
 
-daemon::daemon(const daemon_settings& settings)
-    : configuration_store_({.server = settings.platform}),
-      roster_store_({.server = settings.platform, .timeout = roster_timeout}),
-      packets_(settings, outputs()),
-      from_platform_(packets_.context(), inbox_capacity,
-                     [this](packet_message message) { take(std::move(message)); }),
+daemon::daemon(const daemon_settings& settings, std::string settings_file,
+               const daemon_adapters& adapters)
+    : settings_file_(std::move(settings_file)),
+      packets_(settings, adapters.packets, random_incarnation(),
+               {.read = [this](const reading_order& order) { states_.order(order); },
+                .ask = [this](const ask_peer& order) { to_transfer_.send(order); },
+                .set_ready =
+                    [this](bool is_ready)
+                {
+                    https_.set_ready(is_ready);
+                }}),
+      from_state_(packets_.context(), inbox_capacity,
+                  [this](packet_input message) { packets_.handle(std::move(message)); }),
       from_transfer_(packets_.context(), inbox_capacity,
-                     [this](packet_message message) { take(std::move(message)); }),
-      from_roster_(packets_.context(), inbox_capacity,
-                   [this](packet_message message) { take(std::move(message)); }),
-      platform_(
-          configuration_store_,
-          [this](packet_message message) { from_platform_.send(std::move(message)); },
-          jitter_seed(settings)),
-      transfers_(settings, [this](packet_message message)
+                     [this](packet_input message)
+                     { packets_.handle(std::move(message)); }),
+      from_http_(packets_.context(), inbox_capacity,
+                 [this](packet_input message) { packets_.handle(std::move(message)); }),
+      states_(adapters.state, static_cast<std::uint32_t>(hash_name(settings.name)),
+              [this](packet_input message) { from_state_.send(std::move(message)); }),
+      transfers_({.local = settings.peer,
+                  .key = settings.key,
+                  .self = id_of<instance_id>(settings.name),
+                  .read_configuration = adapters.read_configuration},
+                 [this](packet_input message)
                  { from_transfer_.send(std::move(message)); }),
-      rosters_(roster_store_,
-               [this](packet_message message) { from_roster_.send(std::move(message)); }),
-      operators_(settings.operators), to_transfer_(transfers_.context(), inbox_capacity,
-                                                   [this](const transfer_message& message)
-                                                   { transfers_.handle(message); }),
-      to_roster_(rosters_.context(), inbox_capacity,
-                 [this](const roster_order& order) { rosters_.handle(order); }),
-      to_operators_(operators_.context(), inbox_capacity,
-                    [this](shared_snapshot snapshot)
-                    { operators_.handle(std::move(snapshot)); }),
-      signals_(packets_.context(), SIGTERM, SIGINT)
+      https_({.ready = settings.ready,
+              .ready_path = settings.ready_path,
+              .metrics = settings.metrics},
+             [this](packet_input message) { from_http_.send(std::move(message)); }),
+      to_transfer_(transfers_.context(), inbox_capacity,
+                   [this](const ask_peer& order) { transfers_.ask(order); }),
+      signals_(packets_.context(), SIGTERM, SIGINT, SIGHUP)
 {
     wait_for_signal();
 }
 
-packet_duty_outputs daemon::outputs()
-{
-    // Nothing is sent before run(), by when every inbox exists.
-    packet_duty_outputs to;
-    to.transfer = [this](transfer_message message)
-    {
-        to_transfer_.send(std::move(message));
-    };
-    to.platform = [this](const platform_message& message)
-    {
-        platform_.handle(message);
-    };
-    to.roster = [this](roster_order order)
-    {
-        to_roster_.send(std::move(order));
-    };
-    to.operators = [this](shared_snapshot snapshot)
-    {
-        to_operators_.send(std::move(snapshot));
-    };
-    return to;
-}
-
-void daemon::take(packet_message message)
-{
-    packets_.handle(std::move(message));
-}
-
 void daemon::wait_for_signal()
 {
     signals_.async_wait(
-        [this](const boost::system::error_code& failure, int)
+        [this](const boost::system::error_code& failure, int signal)
         {
-            if (!failure)
+            if (failure)
+            {
+                return;
+            }
+            if (signal == SIGHUP)
+            {
+                reload();
+            }
+            else
             {
-                take(stop_requested{});
+                packets_.handle(stop_was_asked{});
             }
+            wait_for_signal();
         });
 }
 
-void daemon::run()
+void daemon::reload()
 {
-    std::thread transfer_thread([this] { transfers_.run(); });
-    std::thread operator_thread([this] { operators_.run(); });
-    std::thread roster_thread([this] { rosters_.run(); });
-    std::thread platform_thread([this] { platform_.run(); });
-    packets_.run();
-    stop_duties();
-    transfer_thread.join();
-    operator_thread.join();
-    roster_thread.join();
-    platform_thread.join();
+    std::ifstream file(settings_file_, std::ios::binary);
+    const std::string text(std::istreambuf_iterator<char>(file), {});
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(settings, read_settings(text));
+            packets_.handle(settings_were_read{.seeds = std::move(settings.seeds)});
+            return {};
+        },
+        [](const settings_fault& fault)
+        {
+            log(log_level::error, "reload_refused",
+                {{"key", fault.key}, {"expected", fault.expected}});
+        },
+        [] { log(log_level::error, "reload_refused"); });
 }
 
-void daemon::stop_duties()
+void daemon::run()
 {
+    std::thread transfer_thread([this] { transfers_.run(); });
+    std::thread http_thread([this] { https_.run(); });
+    std::thread state_thread([this] { states_.run(); });
+    packets_.run();
     transfers_.stop();
-    operators_.stop();
-    rosters_.stop();
-    platform_.stop();
+    https_.stop();
+    states_.stop();
+    transfer_thread.join();
+    http_thread.join();
+    state_thread.join();
 }
 
 } // namespace kumquatpath
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -2,57 +2,58 @@
 #define KUMQUATPATH_DAEMON_DAEMON_HPP
 
 /// \file
-/// All duties of one instance, joined by their inboxes.
+/// All duties of one entry instance, joined by their inboxes.
 
-#include "operator_duty.hpp"
+#include "http_duty.hpp"
 #include "packet_duty.hpp"
-#include "platform_duty.hpp"
-#include "roster_duty.hpp"
-#include "settings.hpp"
+#include "state_duty.hpp"
 #include "transfer_duty.hpp"
 
 #include <kumquatpath/edge/inbox.hpp>
-#include <kumquatpath/edge/platform_client.hpp>
 
 #include <boost/asio/signal_set.hpp>
 
+#include <string>
+
 namespace kumquatpath
 {
 
+/// What a deployment provides: the form of its packets and where its state is kept.
+struct daemon_adapters
+{
+    const packet_format& packets;
+    state_source& state;
+    configuration_reader read_configuration = nullptr;
+};
+
 /// Runs each duty on a thread of its own. The packet duty has the thread that calls
 /// run().
 ///
-/// Every inbox joins one producer to one consumer, so each duty that tells the packet
-/// duty something has an inbox of its own there. A full inbox refuses and counts.
+/// SIGTERM and SIGINT ask for a graceful stop; SIGHUP has the settings file read again.
 class daemon
 {
 public:
-    /// Binds every port that the settings name. Throws boost::system::system_error if one
-    /// cannot be bound.
-    explicit daemon(const daemon_settings& settings);
+    /// Binds every port of \p settings, which were read from \p settings_file. Throws
+    /// boost::system::system_error if one cannot be bound.
+    daemon(const daemon_settings& settings, std::string settings_file,
+           const daemon_adapters& adapters);
 
-    /// Serves until SIGTERM or SIGINT has come and the graceful stop has ended.
+    /// Serves until a graceful stop has ended.
     void run();
 
 private:
-    packet_duty_outputs outputs();
-    void take(packet_message message);
     void wait_for_signal();
-    void stop_duties();
+    void reload();
 
-    platform_client configuration_store_;
-    platform_client roster_store_;
+    std::string settings_file_;
     packet_duty packets_;
-    inbox<packet_message> from_platform_;
-    inbox<packet_message> from_transfer_;
-    inbox<packet_message> from_roster_;
-    platform_duty platform_;
+    inbox<packet_input> from_state_;
+    inbox<packet_input> from_transfer_;
+    inbox<packet_input> from_http_;
+    state_duty states_;
     transfer_duty transfers_;
-    roster_duty rosters_;
-    operator_duty operators_;
-    inbox<transfer_message> to_transfer_;
-    inbox<roster_order> to_roster_;
-    inbox<shared_snapshot> to_operators_;
+    http_duty https_;
+    inbox<ask_peer> to_transfer_;
     boost::asio::signal_set signals_;
 };
 
--- a/src/entry/http_duty.cpp
+++ b/src/daemon/http_duty.cpp
@@ -21,6 +21,7 @@
 constexpr auto session_timeout = std::chrono::seconds(5);
 constexpr std::size_t longest_request = 8192;
 constexpr std::string_view metrics_path = "/metrics";
+constexpr std::string_view status_path = "/v1/status";
 
 tcp::endpoint to_tcp(const endpoint& value)
 {
@@ -74,7 +75,11 @@
         }
         else if (path == metrics_path)
         {
-            ask_for_metrics();
+            ask_for(page_kind::metrics);
+        }
+        else if (path == status_path)
+        {
+            ask_for(page_kind::status);
         }
         else
         {
@@ -82,14 +87,14 @@
         }
     }
 
-    void ask_for_metrics()
+    void ask_for(page_kind page)
     {
         const auto send = [self = shared_from_this()](const std::string& text)
         {
             asio::post(self->owner.context_,
                        [self, text] { self->write(http::status::ok, text); });
         };
-        owner.output_(page_was_asked{.answer = send});
+        owner.output_(page_was_asked{.page = page, .answer = send});
     }
 
     void write(http::status status, const std::string& body)
--- a/src/entry/http_duty.hpp
+++ b/src/daemon/http_duty.hpp
@@ -1,5 +1,5 @@
-#ifndef KUMQUATPATH_ENTRY_HTTP_DUTY_HPP
-#define KUMQUATPATH_ENTRY_HTTP_DUTY_HPP
+#ifndef KUMQUATPATH_DAEMON_HTTP_DUTY_HPP
+#define KUMQUATPATH_DAEMON_HTTP_DUTY_HPP
 
 /// \file
 /// The duty that answers over HTTP: the fabric that asks for readiness, and operators.
@@ -20,7 +20,7 @@
 {
     endpoint ready;
     std::string ready_path;
-    /// Serves /metrics.
+    /// Serves /metrics and /v1/status.
     endpoint metrics;
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,14 +7,19 @@
 #include "daemon.hpp"
 
 #include <kumquatpath/edge/log.hpp>
+#include <kumquatpath/edge/own_packet_format.hpp>
 
 #include <boost/leaf/handle_errors.hpp>
 
+#include <platform/packet_header.hpp>
+#include <platform/store_client.hpp>
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <memory>
 #include <optional>
 
 namespace kumquatpath
@@ -26,27 +31,24 @@
 
 constexpr int exit_port_not_bound = 1;
 constexpr int exit_wrong_settings = 2;
+constexpr const char* settings_variable = "KUMQUATPATH_NODE_FILE";
 
-/// What the command line says.
-struct command_line
+/// Returns the path of the settings file: the argument, else the environment's.
+std::string settings_path(int argc, char** argv)
 {
-    std::string settings_file;
-    std::string platform;
-};
-
-command_line read_command_line(int argc, char** argv)
-{
-    TCLAP::CmdLine command("kumquatpathd: one entry instance of the kumquatpath load "
-                           "balancer. SIGTERM stops it gracefully.",
-                           ' ', "0.1");
+    TCLAP::CmdLine command(
+        "kumquatpathd: one entry instance of the kumquatpath load "
+        "balancer. SIGTERM stops it gracefully, SIGHUP has it read its "
+        "settings again.",
+        ' ', "0.1");
+    const char* const told = std::getenv(settings_variable);
     TCLAP::UnlabeledValueArg<std::string> file(
-        "settings", "The instance's settings, a JSON file; see docs/SETTINGS.md", true,
-        "", "FILE", command);
-    TCLAP::ValueArg<std::string> platform(
-        "", "platform", "The platform's address, instead of that in the file", false, "",
-        "A.B.C.D:PORT", command);
+        "settings",
+        "The instance's settings, a JSON file; without it, the file that the variable "
+        "KUMQUATPATH_NODE_FILE names",
+        false, told == nullptr ? "" : told, "FILE", command);
     command.parse(argc, argv);
-    return {.settings_file = file.getValue(), .platform = platform.getValue()};
+    return file.getValue();
 }
 
 std::string read_file(const std::string& path)
@@ -56,27 +58,18 @@
 }
 
 /// Returns the settings, or prints what is wrong with them and returns nothing.
-std::optional<daemon_settings> load_settings(const command_line& command)
+std::optional<daemon_settings> load_settings(const std::string& path)
 {
     return leaf::try_handle_all(
         [&]() -> leaf::result<std::optional<daemon_settings>>
         {
-            BOOST_LEAF_AUTO(settings, read_settings(read_file(command.settings_file)));
-            if (!command.platform.empty())
-            {
-                BOOST_LEAF_ASSIGN(settings.platform, parse_endpoint(command.platform));
-            }
+            BOOST_LEAF_AUTO(settings, read_settings(read_file(path)));
             return std::optional(std::move(settings));
         },
         [&](const settings_fault& fault)
         {
-            std::cerr << command.settings_file << ": at \"" << fault.pointer
-                      << "\": expected " << fault.expected << "\n";
-            return std::optional<daemon_settings>();
-        },
-        [&](const malformed_endpoint& fault)
-        {
-            std::cerr << "--platform: \"" << fault.text << "\" is not a.b.c.d:port\n";
+            std::cerr << path << ": at \"" << fault.key << "\": expected "
+                      << fault.expected << "\n";
             return std::optional<daemon_settings>();
         },
         []
@@ -86,10 +79,27 @@
         });
 }
 
-void serve(const daemon_settings& settings)
+std::unique_ptr<packet_format> make_format(const daemon_settings& settings)
+{
+    if (settings.serves == served_interface::own)
+    {
+        return std::make_unique<own_packet_format>();
+    }
+    return std::make_unique<platform::platform_packet_format>(settings.data.port);
+}
+
+void serve(const daemon_settings& settings, const std::string& path)
 {
     const log_writer logs(settings.name);
-    daemon running(settings);
+    const auto packets = make_format(settings);
+    const auto origin = settings.serves == served_interface::own
+                            ? platform::configuration_origin::own
+                            : platform::configuration_origin::platform;
+    platform::store_client state(settings.state, origin);
+    daemon running(settings, path,
+                   {.packets = *packets,
+                    .state = state,
+                    .read_configuration = platform::reader_of(origin)});
     log(log_level::info, "started", {{"data_centre", settings.data_centre}});
     running.run();
     log(log_level::info, "stopped");
@@ -101,14 +111,15 @@
 int main(int argc, char** argv)
 {
     using namespace kumquatpath;
-    const auto settings = load_settings(read_command_line(argc, argv));
+    const std::string path = settings_path(argc, argv);
+    const auto settings = load_settings(path);
     if (!settings)
     {
         return exit_wrong_settings;
     }
     try
     {
-        serve(*settings);
+        serve(*settings, path);
     }
     catch (const boost::system::system_error& failure)
     {
--- a/src/daemon/messages.hpp
+++ b/src/daemon/messages.hpp
@@ -2,81 +2,92 @@
 #define KUMQUATPATH_DAEMON_MESSAGES_HPP
 
 /// \file
-/// What the duties of the daemon tell each other through their inboxes.
+/// What the duties of an entry instance tell each other.
 
-#include <kumquatpath/decision/roster_leader.hpp>
-#include <kumquatpath/edge/key_value_store.hpp>
-#include <kumquatpath/model/configuration.hpp>
-#include <kumquatpath/model/peer_message.hpp>
+#include <kumquatpath/edge/state_source.hpp>
+#include <kumquatpath/model/fleet_message.hpp>
+#include <kumquatpath/model/time.hpp>
 
-#include <memory>
-#include <string>
+#include <functional>
 #include <variant>
-#include <vector>
 
 namespace kumquatpath
 {
 
-/// A stored configuration that passed the check, with its text for peers that ask for it.
-struct checked_envelope
+/// The shared state, or its changes, as this instance has read it.
+struct state_was_read
 {
-    std::shared_ptr<const configuration> whole;
-    std::shared_ptr<const std::string> text;
+    shared_state state;
+    /// All of the state, not only what has changed.
+    bool is_whole = false;
+    /// The state was so at this time.
+    time_point as_of;
 };
 
-/// The platform's list of instances, or the members that a peer told a newcomer of.
-struct members_listed
+/// A reading of the shared state has failed.
+struct reading_failed
 {
-    std::vector<member_digest> members;
-    /// Whether the members were heard of by a peer, and so are believed.
-    bool is_from_peer = false;
+    state_failure failure = state_failure::unreachable;
 };
 
-/// The process was asked to end.
-struct stop_requested
+/// A peer's answer to a state_request.
+struct state_was_told
 {
+    instance_id by;
+    state_reply reply;
+    /// What was read from the reply's configuration, if it has one.
+    std::shared_ptr<const routing_table> table;
 };
 
-/// To the packet duty.
-using packet_message = std::variant<checked_envelope, members_listed, stop_requested,
-                                    lease_answer, roster_answer>;
+/// Asking a peer for its state has ended, with or without an answer.
+struct asking_ended
+{
+};
 
-/// To the roster duty: one question to the platform about the roster of \c region.
-struct roster_order
+/// A peer asks for state; \c answer sends it on the transfer duty's thread.
+struct state_was_asked
 {
-    std::string region;
-    store_command command;
+    state_request request;
+    std::function<void(state_reply)> answer;
 };
 
-/// To the transfer duty: fetch what is newer than \c newer_than from \c peer.
-struct fetch_configuration
+/// What can be asked for over HTTP.
+enum class page_kind : std::uint8_t
 {
-    endpoint peer;
-    generation newer_than;
+    metrics,
+    status,
 };
 
-/// To the transfer duty: what peers are told from now on when they ask.
-struct publish_configuration
+/// Somebody asks for a page; \c answer sends it on the HTTP duty's thread.
+struct page_was_asked
 {
-    generation number;
-    std::shared_ptr<const std::string> text;
-    std::vector<member_digest> members;
+    page_kind page = page_kind::metrics;
+    std::function<void(std::string)> answer;
 };
 
-/// To the transfer duty.
-using transfer_message = std::variant<fetch_configuration, publish_configuration>;
+/// A signal asks for a graceful stop.
+struct stop_was_asked
+{
+};
 
-/// To the platform duty: whether this instance reads for its data centre, and how long
-/// one that does not waits between its own reads.
-struct reader_role
+/// The settings were read anew.
+struct settings_were_read
 {
-    bool is_reader = false;
-    std::chrono::milliseconds poll_interval{5000};
-    generation in_force;
+    std::vector<endpoint> seeds;
 };
 
-/// To the platform duty.
-using platform_message = std::variant<reader_role>;
+/// Anything that the packet duty is told.
+using packet_input =
+    std::variant<state_was_read, reading_failed, state_was_told, asking_ended,
+                 state_was_asked, page_was_asked, stop_was_asked, settings_were_read>;
+
+/// Asks the transfer duty to ask a peer for its state.
+struct ask_peer
+{
+    endpoint peer;
+    instance_id instance;
+    state_request request;
+};
 
 } // namespace kumquatpath
 
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -1,121 +1,148 @@
 #include "metrics.hpp"
 
-#include <algorithm>
+#include <sstream>
 
 namespace kumquatpath
 {
 namespace
 {
 
-constexpr std::size_t most_histograms = 1024;
-constexpr unsigned latency_bins = 60;
-constexpr double shortest_latency_us = 10;
-constexpr double longest_latency_us = 10'000'000;
+constexpr unsigned time_bins = 24;
+constexpr double least_time_ms = 0.5;
+constexpr double most_time_ms = 60'000;
 
-constexpr std::array<std::string_view, drop_reason_count> drop_names = {
-    "malformed",       "unknown_version", "unknown_listener", "unknown_service",
-    "unexpected_kind", "too_many_hops",   "no_target",        "no_keeper",
-    "stale_answer",    "duplicate",       "table_full",       "unauthenticated_peer",
-    "ring_full",
-};
+time_histogram make_times()
+{
+    return boost::histogram::make_histogram(
+        time_axis(time_bins, least_time_ms, most_time_ms));
+}
 
-constexpr std::array<std::string_view, refusal_reason_count> refusal_names = {
-    "none",        "no_target", "service_limit",   "tenant_limit",
-    "class_limit", "overload",  "deadline_passed", "table_full",
-    "duplicate",   "no_quorum", "leaving",         "target_shed",
-};
+double milliseconds_of(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
 
-/// Returns the name of the object with \p id in \p objects, or its number.
-template <class Objects, class Id>
-std::string name_of(const Objects* objects, Id id)
+void write_histogram(std::ostream& out, std::string_view name, std::string_view route,
+                     const time_histogram& times)
 {
-    if (objects != nullptr)
+    double sum = 0;
+    for (auto&& bin : boost::histogram::indexed(times, boost::histogram::coverage::all))
     {
-        const auto found = std::ranges::find_if(*objects, [id](const auto& each)
-                                                { return each.id == id; });
-        if (found != objects->end())
+        sum += *bin;
+        out << name << "_bucket{route=\"" << route << "\",le=\"";
+        if (bin.bin().upper() > most_time_ms)
         {
-            return found->name;
+            out << "+Inf";
         }
+        else
+        {
+            out << bin.bin().upper();
+        }
+        out << "\"} " << sum << "\n";
     }
-    return "#" + std::to_string(id.value);
+    out << name << "_count{route=\"" << route << "\"} " << sum << "\n";
 }
 
-histogram_copy copy_histogram(const metric_key& key, const latency_histogram& histogram,
-                              const configuration* names)
+void write_counter(std::ostream& out, std::string_view name, std::uint64_t value)
 {
-    histogram_copy copy{
-        .service = name_of(names ? &names->services : nullptr, key.service),
-        .tenant = name_of(names ? &names->tenants : nullptr, key.tenant),
-        .traffic_class = name_of(names ? &names->classes : nullptr, key.traffic_class)};
-    const auto& axis = histogram.axis(0);
-    for (int bin = -1; bin <= axis.size(); ++bin)
+    out << "kumquatpath_" << name << " " << value << "\n";
+}
+
+void write_targets(std::ostream& out, const entry& self, time_point now)
+{
+    const auto& evidence = self.steering.choice.evidence;
+    for (std::size_t i = 0; i < evidence.size(); ++i)
     {
-        copy.counts.push_back(static_cast<std::uint64_t>(histogram.at(bin)));
-        if (bin < axis.size())
+        const known_target& target = self.directory.targets[i];
+        if (!target.is_used)
         {
-            copy.bounds.push_back(axis.bin(bin).upper());
+            continue;
         }
+        out << "kumquatpath_target{target=\"" << std::hex << target.record.key.value
+            << std::dec << "\",takes_flows=\"" << takes_new_flows(target, now)
+            << "\",suspect=\"" << is_suspect(evidence[i]) << "\"} " << evidence[i].busy
+            << "\n";
     }
-    return copy;
 }
 
 } // namespace
 
-void add_latency(metrics& all, const metric_key& key, duration latency)
-{
-    const bool is_known = all.latencies.contains(key);
-    const bool has_room = is_known || all.latencies.size() < most_histograms;
-    const metric_key counted = has_room ? key : metric_key{};
-    const auto [place, is_new] = all.latencies.try_emplace(
-        counted, boost::histogram::make_histogram(latency_axis(
-                     latency_bins, shortest_latency_us, longest_latency_us)));
-    place->second(std::chrono::duration<double, std::micro>(latency).count());
-}
-
-std::string_view to_string(drop_reason reason) noexcept
+void add_times(instance_metrics& metrics, std::string_view name,
+               const steering_decision& decision)
 {
-    return drop_names[static_cast<std::size_t>(reason)];
+    auto found = metrics.times.find(name);
+    if (found == metrics.times.end())
+    {
+        if (metrics.times.size() >= most_timed_routes)
+        {
+            return;
+        }
+        found = metrics.times
+                    .emplace(std::string(name),
+                             flow_times{.openings = make_times(), .flows = make_times()})
+                    .first;
+    }
+    if (decision.opening_time)
+    {
+        found->second.openings(milliseconds_of(*decision.opening_time));
+    }
+    if (decision.flow_time)
+    {
+        found->second.flows(milliseconds_of(*decision.flow_time));
+    }
 }
 
-std::string_view to_string(refusal_reason reason) noexcept
+std::string_view to_string(steering_verdict verdict) noexcept
 {
-    return refusal_names[static_cast<std::size_t>(reason)];
+    switch (verdict)
+    {
+    case steering_verdict::forward:
+        return "forwarded";
+    case steering_verdict::no_route:
+        return "no_route";
+    case steering_verdict::no_target:
+        return "no_target";
+    case steering_verdict::unknown_token:
+        return "unknown_token";
+    case steering_verdict::wait:
+        break;
+    }
+    return "waits";
 }
 
-void copy_metrics(const metrics& all, const configuration* names,
-                  instance_snapshot& snapshot)
+std::string metrics_page(const instance_metrics& metrics, const entry& self,
+                         time_point now)
 {
-    for (const auto& [key, histogram] : all.latencies)
-    {
-        snapshot.histograms.push_back(copy_histogram(key, histogram, names));
-    }
-    auto& counters = snapshot.counters;
-    counters.emplace_back("requests_answered", all.outcomes.answered);
-    counters.emplace_back("requests_refused_not_run", all.outcomes.refused_not_run);
-    counters.emplace_back("requests_refused_unknown", all.outcomes.refused_unknown);
-    counters.emplace_back("requests_timed_out", all.outcomes.timed_out);
-    counters.emplace_back("packets_received", all.packets_received);
-    counters.emplace_back("packets_passed_on", all.packets_passed_on);
-    counters.emplace_back("packet_bytes_passed_on", all.packet_bytes_passed_on);
-    counters.emplace_back("control_bytes_sent", all.control_bytes_sent);
-    for (std::size_t i = 0; i < drop_reason_count; ++i)
-    {
-        const auto reason = static_cast<drop_reason>(i);
-        counters.emplace_back("dropped_" + std::string(to_string(reason)), all.drops[i]);
-    }
-    for (std::size_t i = 0; i < refusal_reason_count; ++i)
+    std::ostringstream out;
+    for (std::size_t i = 0; i < metrics.verdicts.size(); ++i)
     {
-        const auto reason = static_cast<refusal_reason>(i);
-        counters.emplace_back("refused_" + std::string(to_string(reason)),
-                              all.refusals[i]);
+        out << "kumquatpath_packets{verdict=\""
+            << to_string(static_cast<steering_verdict>(i)) << "\"} "
+            << metrics.verdicts[i] << "\n";
     }
-    const auto broken = violations();
-    for (std::size_t i = 0; i < invariant_count; ++i)
+    write_counter(out, "packets_malformed", metrics.packets_malformed);
+    write_counter(out, "flows_placed", metrics.flows_placed);
+    write_counter(out, "openings_refused", metrics.openings_refused);
+    write_counter(out, "peer_messages_refused", metrics.peer_messages_refused);
+    write_counter(out, "control_bytes_sent", metrics.control_bytes_sent);
+    write_counter(out, "readings", metrics.readings);
+    write_counter(out, "readings_failed", metrics.readings_failed);
+    write_counter(out, "log_lines_held_back", metrics.log_lines_held_back);
+    write_counter(out, "flows_remembered", self.steering.flows.size());
+    write_counter(out, "peers", self.fleet.peers.size());
+    write_counter(out, "state_position", self.directory.position.value);
+    write_counter(out, "configuration",
+                  self.configuration.table ? self.configuration.table->generation.value
+                                           : 0);
+    write_counter(out, "state_age_ms",
+                  static_cast<std::uint64_t>(state_age(self, now).count()));
+    write_targets(out, self, now);
+    for (const auto& [route, times] : metrics.times)
     {
-        const auto which = static_cast<invariant>(i);
-        counters.emplace_back("violated_" + std::string(to_string(which)), broken[i]);
+        write_histogram(out, "kumquatpath_opening_ms", route, times.openings);
+        write_histogram(out, "kumquatpath_flow_ms", route, times.flows);
     }
+    return out.str();
 }
 
 } // namespace kumquatpath
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -2,76 +2,60 @@
 #define KUMQUATPATH_DAEMON_METRICS_HPP
 
 /// \file
-/// Metrics of the packet duty: a histogram of answer times for each service, tenant and
-/// class, and counters by outcome and by drop reason.
+/// What an entry instance counts and times, and the page that shows it.
 
-#include "snapshot.hpp"
-
-#include <kumquatpath/decision/action.hpp>
-#include <kumquatpath/model/configuration.hpp>
+#include <kumquatpath/decision/entry.hpp>
 
 #include <boost/histogram.hpp>
 
 #include <array>
-#include <compare>
 #include <map>
-#include <tuple>
+#include <string>
 
 namespace kumquatpath
 {
 
-/// What a histogram is kept for.
-struct metric_key
-{
-    service_id service;
-    tenant_id tenant;
-    class_id traffic_class;
-
-    friend constexpr auto operator<=>(const metric_key&, const metric_key&) = default;
-};
-
-/// Answer times in microseconds, in bins of equal ratio.
-using latency_axis =
+/// Times in milliseconds, in bins of equal ratio.
+using time_axis =
     boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-using latency_histogram =
-    decltype(boost::histogram::make_histogram(std::declval<latency_axis>()));
+using time_histogram =
+    decltype(boost::histogram::make_histogram(std::declval<time_axis>()));
 
-/// The counters of requests by what became of them.
-struct outcome_counters
+/// The times of one class of flows: those of one listener.
+struct flow_times
 {
-    std::uint64_t answered = 0;
-    std::uint64_t refused_not_run = 0;
-    std::uint64_t refused_unknown = 0;
-    std::uint64_t timed_out = 0;
+    time_histogram openings;
+    time_histogram flows;
 };
 
-/// All metrics of one instance. The tables are bounded: past the bound, what is new is
-/// counted under the key of all zeros.
-struct metrics
+/// The counters and histograms of one instance.
+struct instance_metrics
 {
-    std::map<metric_key, latency_histogram> latencies;
-    outcome_counters outcomes;
-    std::array<std::uint64_t, drop_reason_count> drops{};
-    /// Refusals that were sent to callers, by their reasons.
-    std::array<std::uint64_t, refusal_reason_count> refusals{};
-    std::uint64_t packets_received = 0;
-    std::uint64_t packets_passed_on = 0;
+    std::array<std::uint64_t, steering_verdict_count> verdicts{};
+    std::uint64_t packets_malformed = 0;
+    std::uint64_t flows_placed = 0;
+    std::uint64_t openings_refused = 0;
+    std::uint64_t peer_messages_refused = 0;
     std::uint64_t control_bytes_sent = 0;
-    std::uint64_t packet_bytes_passed_on = 0;
+    std::uint64_t readings = 0;
+    std::uint64_t readings_failed = 0;
+    std::uint64_t log_lines_held_back = 0;
+    /// By the name of the route; at most most_timed_routes.
+    std::map<std::string, flow_times, std::less<>> times;
 };
 
-/// Adds one answer time.
-void add_latency(metrics& all, const metric_key& key, duration latency);
+inline constexpr std::size_t most_timed_routes = 64;
 
-/// Returns the name of \p reason, as metrics and logs print it.
-std::string_view to_string(drop_reason reason) noexcept;
+/// Adds what \p decision tells of the times of \p name's flows.
+void add_times(instance_metrics& metrics, std::string_view name,
+               const steering_decision& decision);
 
-/// Returns the name of \p reason, as metrics print it.
-std::string_view to_string(refusal_reason reason) noexcept;
+/// Returns the name of \p verdict, as metrics and logs print it.
+std::string_view to_string(steering_verdict verdict) noexcept;
 
-/// Copies the metrics into \p snapshot, with names from \p names where it knows them.
-void copy_metrics(const metrics& all, const configuration* names,
-                  instance_snapshot& snapshot);
+/// Returns the page that shows \p metrics and the state of \p self, as text.
+std::string metrics_page(const instance_metrics& metrics, const entry& self,
+                         time_point now);
 
 } // namespace kumquatpath
 
--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -1,91 +1,79 @@
 #include "packet_duty.hpp"
 
+#include "status.hpp"
+
 #include <kumquatpath/edge/clock.hpp>
+#include <kumquatpath/edge/fleet_codec.hpp>
 #include <kumquatpath/edge/log.hpp>
-#include <kumquatpath/edge/packet_codec.hpp>
-
-#include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
-#include <chrono>
-#include <type_traits>
 
 namespace kumquatpath
 {
 namespace
 {
 
-namespace leaf = boost::leaf;
-
-constexpr auto tick_interval = std::chrono::milliseconds(20);
-constexpr duration snapshot_interval = std::chrono::milliseconds(250);
-/// Batches that one port receives before the others get their turn.
-constexpr int batches_a_turn = 8;
-constexpr std::size_t usual_actions = 64;
-constexpr std::size_t usual_datagram = 2048;
+constexpr std::chrono::milliseconds tick_interval{50};
+/// How often peers of the own data centre are told of the loads.
+constexpr duration home_beat_interval = std::chrono::milliseconds(100);
+/// How often other peers get a sign of life.
+constexpr duration far_beat_interval = std::chrono::milliseconds(400);
+constexpr duration seeds_interval = std::chrono::milliseconds(250);
+/// The longest datagram between a caller and this instance, without what goes before it.
+constexpr std::size_t most_lines_a_second = 100;
+/// What a flow takes from its placement on; an opening that waits must leave as much.
+constexpr duration usual_flow_time = std::chrono::milliseconds(100);
+
+entry make_self(const daemon_settings& settings, std::uint64_t start)
+{
+    return make_entry({.self = id_of<instance_id>(settings.name),
+                       .home = id_of<data_centre_id>(settings.data_centre),
+                       .address = settings.peer,
+                       .incarnation = start,
+                       .started_at = monotonic_now()});
+}
 
-member_digest own_digest(const daemon_settings& settings)
+std::string_view to_string(state_failure failure)
 {
-    const auto started = wall_now().time_since_epoch().count();
-    return {.instance = id_of<instance_id>(settings.name),
-            .incarnation = {static_cast<std::uint64_t>(started)},
-            .data_centre = id_of<data_centre_id>(settings.data_centre),
-            .address = settings.peer};
+    switch (failure)
+    {
+    case state_failure::unreachable:
+        return "unreachable";
+    case state_failure::refused:
+        return "refused";
+    case state_failure::history_lost:
+        return "history_lost";
+    case state_failure::malformed:
+        return "malformed";
+    case state_failure::cancelled:
+        break;
+    }
+    return "cancelled";
 }
 
-/// Calls \p decode and returns what it read; counts the reason when it fails.
-template <class Decode>
-auto decode_or_count(metrics& counters, Decode decode)
+received_packet as_received(const waiting_opening& opening)
 {
-    using decoded = std::remove_cvref_t<decltype(decode().value())>;
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<std::optional<decoded>>
-        {
-            BOOST_LEAF_AUTO(value, decode());
-            return std::optional<decoded>(std::move(value));
-        },
-        [&](drop_reason reason)
-        {
-            ++counters.drops[static_cast<std::size_t>(reason)];
-            return std::optional<decoded>();
-        },
-        [&]
-        {
-            ++counters.drops[static_cast<std::size_t>(drop_reason::malformed)];
-            return std::optional<decoded>();
-        });
+    return {.datagram = opening.datagram, .source = opening.source};
 }
 
-bool is_from_caller(packet_kind kind)
+std::string flow_name(const flow_packet& packet)
 {
-    return kind <= packet_kind::cancel;
+    return to_string(packet.caller) + ">" + to_string(packet.listener);
 }
 
 } // namespace
 
-packet_duty::packet_duty(const daemon_settings& settings, packet_duty_outputs outputs)
-    : settings_(settings), outputs_(std::move(outputs)),
-      state_(make_instance({.self = own_digest(settings)}, monotonic_now())),
-      packet_builder_(usual_datagram), peer_builder_(usual_datagram),
-      listeners_(context_, settings.data_address,
-                 [this](open_listener& listener) { receive_from_callers(listener); }),
-      target_port_(context_, settings.egress, longest_datagram),
-      peer_port_(context_, settings.peer, longest_peer_datagram)
+packet_duty::packet_duty(const daemon_settings& settings, const packet_format& format,
+                         std::uint64_t start, packet_duty_outputs outputs)
+    : settings_(settings), format_(format), outputs_(std::move(outputs)),
+      data_(context_, settings.data, longest_forward),
+      peers_(context_, settings.peer, longest_fleet_datagram), timer_(context_),
+      self_(make_self(settings, start)), scratch_(longest_forward)
 {
-    actions_.reserve(usual_actions);
-    for (const seed_peer& each : settings_.seeds)
-    {
-        note_listed(state_.members,
-                    {.instance = id_of<instance_id>(each.name), .address = each.address},
-                    monotonic_now());
-    }
-    target_port_.on_readable([this] { receive_from_targets(); });
-    peer_port_.on_readable([this] { receive_from_peers(); });
-    wait_for_tick();
+    data_.on_readable([this] { receive_packets(); });
+    peers_.on_readable([this] { receive_beats(); });
 }
 
-packet_duty::~packet_duty() = default;
-
 boost::asio::io_context& packet_duty::context()
 {
     return context_;
@@ -93,341 +81,495 @@
 
 void packet_duty::run()
 {
+    tick_now(monotonic_now());
+    wait_for_tick();
     context_.run();
 }
 
-void packet_duty::handle(packet_message message)
+void packet_duty::handle(packet_input message)
+{
+    std::visit([this](auto&& each) { take(std::forward<decltype(each)>(each)); },
+               std::move(message));
+}
+
+void packet_duty::take(state_was_read&& message)
 {
-    if (const auto* const envelope = std::get_if<checked_envelope>(&message))
+    const time_point now = monotonic_now();
+    ++metrics_.readings;
+    if (is_source_lost_)
     {
-        adopt(*envelope);
-        return;
+        is_source_lost_ = false;
+        log(log_level::info, "state_source_regained",
+            {{"position", message.state.position.value}});
     }
-    if (const auto* const listed = std::get_if<members_listed>(&message))
+    const bool is_newer = message.state.configuration &&
+                          take_configuration(self_, *message.state.configuration);
+    const state_outcome outcome =
+        message.is_whole
+            ? take_listing(self_, message.state.targets, message.state.position, now)
+            : take_changes(self_, message.state.targets, message.state.position, now);
+    note_reading(self_, message.as_of, now);
+    note_state(message.is_whole ? "listing" : "changes", outcome, is_newer, now);
+}
+
+void packet_duty::take(reading_failed&& message)
+{
+    ++metrics_.readings_failed;
+    if (!is_source_lost_ && message.failure != state_failure::cancelled)
     {
-        note_listed_members(*listed);
-        return;
+        is_source_lost_ = true;
+        const auto age = state_age(self_, monotonic_now());
+        log(log_level::warning, "state_source_lost",
+            {{"failure", to_string(message.failure)}, {"state_age_ms", age.count()}});
     }
-    if (const auto* const lease = std::get_if<lease_answer>(&message))
+}
+
+void packet_duty::take(state_was_told&& message)
+{
+    const time_point now = monotonic_now();
+    last_asked_ = {};
+    bool is_newer = false;
+    if (message.table)
     {
-        receive_store_answer(state_, *lease);
-        return;
+        is_newer =
+            take_configuration(self_, {.revision = message.reply.configuration,
+                                       .text = std::make_shared<const std::string>(
+                                           std::move(message.reply.configuration_text)),
+                                       .table = message.table});
     }
-    if (const auto* const told = std::get_if<roster_answer>(&message))
+    const state_outcome outcome =
+        take_changes(self_, message.reply.targets, message.reply.position, now);
+    note_state("peer", outcome, is_newer, now);
+}
+
+void packet_duty::take(asking_ended&& /*message*/)
+{
+    is_asking_ = false;
+}
+
+void packet_duty::take(state_was_asked&& message)
+{
+    message.answer(reply_to(self_, message.request));
+}
+
+void packet_duty::take(page_was_asked&& message)
+{
+    const time_point now = monotonic_now();
+    message.answer(message.page == page_kind::status
+                       ? status_page(settings_, self_, now)
+                       : metrics_page(metrics_, self_, now));
+}
+
+void packet_duty::take(stop_was_asked&& /*message*/)
+{
+    if (self_.leaving_since)
     {
-        receive_store_answer(state_, *told, monotonic_now());
         return;
     }
-    if (!state_.is_leaving)
-    {
-        log(log_level::info, "stop_began", {{"unanswered", state_.inflight.used}});
-        begin_leaving(state_, monotonic_now());
-    }
+    const time_point now = monotonic_now();
+    self_.leaving_since = now;
+    outputs_.set_ready(false);
+    log(log_level::info, "leaving", {{"flows", self_.steering.flows.size()}});
+    send_beats(now);
 }
 
-void packet_duty::adopt(const checked_envelope& envelope)
+void packet_duty::take(settings_were_read&& message)
 {
-    if (!adopt_configuration(state_, envelope.whole, wall_now(), monotonic_now()))
+    settings_.seeds = std::move(message.seeds);
+    log(log_level::info, "reloaded", {{"seeds", settings_.seeds.size()}});
+}
+
+void packet_duty::note_state(std::string_view from, const state_outcome& outcome,
+                             bool is_configuration_new, time_point now)
+{
+    const auto position = self_.directory.position.value;
+    if (is_configuration_new)
     {
-        return;
+        log(log_level::info, "configuration_in_force",
+            {{"from", from},
+             {"generation", self_.configuration.table->generation.value},
+             {"revision", self_.configuration.revision.value},
+             {"routes", self_.configuration.table->routes.size()}});
+    }
+    if (outcome.targets_changed > 0)
+    {
+        log(log_level::info, "targets_changed",
+            {{"from", from},
+             {"changes", outcome.targets_changed},
+             {"position", position},
+             {"age_ms", state_age(self_, now).count()}});
+    }
+    outputs_.set_ready(is_ready(self_));
+    if (outcome.targets_changed > 0 || is_configuration_new)
+    {
+        next_home_beat_ = now;
+        next_far_beat_ = now;
+        send_beats(now);
     }
-    envelope_text_ = envelope.text;
-    listeners_.adopt(*envelope.whole);
-    index_targets(*envelope.whole);
-    published_version_ = 0;
-    log(log_level::info, "configuration_adopted",
-        {{"generation", envelope.whole->generation.value}});
 }
 
-void packet_duty::index_targets(const configuration& whole)
+void packet_duty::receive_packets()
 {
-    target_addresses_.clear();
-    targets_by_address_.clear();
-    for (const target_pool& pool : whole.pools)
+    const time_point now = monotonic_now();
+    bool may_have_more = true;
+    while (may_have_more)
     {
-        for (const target& each : pool.targets)
+        const auto batch = data_.receive();
+        for (const received_datagram& each : batch)
         {
-            target_addresses_[each.id] = each.address;
-            targets_by_address_[each.address] = each.id;
+            steer_packet({.datagram = each.bytes, .source = each.source}, now);
         }
+        data_.flush();
+        may_have_more = batch.size() == udp_port::batch_size;
     }
+    review_flows(self_.steering, self_.directory, now);
+    place_waiting(now);
 }
 
-void packet_duty::note_listed_members(const members_listed& listed)
+void packet_duty::steer_packet(const received_packet& received, time_point now)
 {
-    const time_point now = monotonic_now();
-    if (listed.is_from_peer)
+    const auto packet = format_.read(received);
+    if (!packet || self_.configuration.table == nullptr)
     {
-        merge_members(state_.members, listed.members, now);
+        ++metrics_.packets_malformed;
         return;
     }
-    for (const member_digest& each : listed.members)
+    self_.last_packet_at = now;
+    const routing_table& table = *self_.configuration.table;
+    const steering_decision decision =
+        steer(self_.steering, table, self_.directory, *packet, now);
+    ++metrics_.verdicts[static_cast<std::size_t>(decision.verdict)];
+    if (decision.verdict == steering_verdict::forward)
     {
-        note_listed(state_.members, each, now);
+        forward(received, decision);
     }
-}
-
-template <class Handle>
-void packet_duty::receive_batches(udp_port& port, Handle handle)
-{
-    for (int turn = 0; turn < batches_a_turn; ++turn)
+    if (decision.verdict == steering_verdict::wait)
     {
-        const auto batch = port.receive();
-        if (batch.empty())
-        {
-            break;
-        }
-        const time_point now = monotonic_now();
-        for (const received_datagram& each : batch)
-        {
-            handle(each, now);
-        }
-        flush();
+        let_wait(*packet, received, now);
+    }
+    if (decision.opening_time || decision.flow_time)
+    {
+        const route* const found = find_route(table, packet->listener);
+        add_times(metrics_, found == nullptr ? "" : found->name, decision);
+    }
+    if (decision.is_placement || decision.verdict != steering_verdict::forward)
+    {
+        log_placement(*packet, decision, now);
     }
 }
 
-void packet_duty::receive_from_callers(open_listener& listener)
+void packet_duty::forward(const received_packet& received,
+                          const steering_decision& decision)
 {
-    receive_batches(*listener.port, [&](const received_datagram& each, time_point now)
-                    { handle_caller_datagram(listener, each, now); });
+    const target_record& target = self_.directory.targets[decision.target].record;
+    const std::size_t size =
+        format_.write_forward(received, target, decision.token, scratch_);
+    data_.queue(target.address, payload_view(scratch_).first(size));
 }
 
-void packet_duty::receive_from_targets()
+void packet_duty::let_wait(const flow_packet& packet, const received_packet& received,
+                           time_point now)
 {
-    receive_batches(target_port_, [this](const received_datagram& each, time_point now)
-                    { handle_target_datagram(each, now); });
+    const route* const found = find_route(*self_.configuration.table, packet.listener);
+    const time_point begun = now - packet.age;
+    const auto displaced = add_waiting(
+        waiting_, {.packet = packet,
+                   .datagram = {received.datagram.begin(), received.datagram.end()},
+                   .source = received.source,
+                   .begun = begun,
+                   .in_time_until = begun + found->latency_goal - usual_flow_time,
+                   .priority = found->priority});
+    if (displaced)
+    {
+        refuse(*displaced, now);
+    }
 }
 
-void packet_duty::receive_from_peers()
+void packet_duty::refuse(const waiting_opening& opening, time_point now)
 {
-    receive_batches(peer_port_, [this](const received_datagram& each, time_point now)
-                    { handle_peer_datagram(each, now); });
+    endpoint to;
+    const std::size_t size = format_.write_refusal(as_received(opening), scratch_, to);
+    data_.queue(to, payload_view(scratch_).first(size));
+    ++metrics_.openings_refused;
+    if (may_log(now))
+    {
+        log(log_level::info, "flow_refused",
+            {{"flow", flow_name(opening.packet)},
+             {"why", "every target is full"},
+             {"waiting", waiting_.openings.size()}});
+    }
 }
 
-void packet_duty::handle_caller_datagram(const open_listener& listener,
-                                         const received_datagram& datagram,
-                                         time_point now)
+void packet_duty::place_waiting(time_point now)
 {
-    ++metrics_.packets_received;
-    auto read = decode_or_count(metrics_, [&] { return decode_packet(datagram.bytes); });
-    if (!read)
+    if (waiting_.openings.empty())
     {
         return;
     }
-    if (!is_from_caller(read->header.kind))
+    for (const waiting_opening& each : take_expired(waiting_, now))
     {
-        carry_out_one(drop_packet{drop_reason::unexpected_kind});
-        return;
+        refuse(each, now);
     }
-    read->header.service = listener.service;
-    read->header.return_path = datagram.source;
-    read->header.hops = 0;
-    decide_caller_packet(state_, read->header, read->payload, now, actions_);
-    carry_out();
+    order_waiting(waiting_, now);
+    std::vector<endpoint> full;
+    std::erase_if(waiting_.openings,
+                  [&](const waiting_opening& each)
+                  {
+                      if (std::find(full.begin(), full.end(), each.packet.listener) !=
+                          full.end())
+                      {
+                          return false;
+                      }
+                      const steering_decision decision =
+                          steer(self_.steering, *self_.configuration.table,
+                                self_.directory, each.packet, now);
+                      if (decision.verdict == steering_verdict::wait)
+                      {
+                          full.push_back(each.packet.listener);
+                          return false;
+                      }
+                      if (decision.verdict == steering_verdict::forward)
+                      {
+                          forward(as_received(each), decision);
+                      }
+                      log_placement(each.packet, decision, now);
+                      return true;
+                  });
+    data_.flush();
 }
 
-void packet_duty::handle_target_datagram(const received_datagram& datagram,
-                                         time_point now)
+bool packet_duty::may_log(time_point now)
 {
-    const auto sender = targets_by_address_.find(datagram.source);
-    if (sender == targets_by_address_.end())
+    if (now >= log_refill_)
     {
-        carry_out_one(drop_packet{drop_reason::stale_answer});
-        return;
-    }
-    const auto read =
-        decode_or_count(metrics_, [&] { return decode_packet(datagram.bytes); });
-    if (!read)
-    {
-        return;
+        log_refill_ = now + std::chrono::seconds(1);
+        log_allowance_ = most_lines_a_second;
+        if (metrics_.log_lines_held_back > logged_held_back_)
+        {
+            log(log_level::warning, "lines_held_back",
+                {{"lines", metrics_.log_lines_held_back - logged_held_back_}});
+            logged_held_back_ = metrics_.log_lines_held_back;
+        }
     }
-    if (is_from_caller(read->header.kind))
+    if (log_allowance_ == 0)
     {
-        carry_out_one(drop_packet{drop_reason::unexpected_kind});
-        return;
+        ++metrics_.log_lines_held_back;
+        return false;
     }
-    decide_target_packet(state_, sender->second, read->header, read->payload, now,
-                         actions_);
-    carry_out();
+    --log_allowance_;
+    return true;
 }
 
-void packet_duty::handle_peer_datagram(const received_datagram& datagram, time_point now)
+void packet_duty::log_placement(const flow_packet& packet,
+                                const steering_decision& decision, time_point now)
 {
-    if (!is_in(settings_.peer_networks, datagram.source.address))
+    metrics_.flows_placed += decision.is_placement ? 1U : 0U;
+    if (!may_log(now))
     {
-        carry_out_one(drop_packet{drop_reason::unauthenticated_peer});
         return;
     }
-    const auto read = decode_or_count(
-        metrics_, [&]
-        { return decode_peer(datagram.bytes, settings_.key, longest_peer_datagram); });
-    if (!read)
+    boost::json::object fields = {
+        {"flow", flow_name(packet)},
+        {"outcome", to_string(decision.verdict)},
+        {"generation", self_.configuration.table->generation.value},
+        {"position", self_.directory.position.value},
+        {"state_age_ms", state_age(self_, now).count()}};
+    if (decision.verdict == steering_verdict::unknown_token)
     {
-        return;
+        fields["token"] = packet.token.value;
     }
-    if (const auto* const passed = std::get_if<passed_packet>(&read->body))
+    if (decision.verdict == steering_verdict::forward)
     {
-        handle_passed_packet(read->sender, passed->datagram, now);
-        return;
+        const target_evidence& evidence = self_.steering.choice.evidence[decision.target];
+        fields["target"] =
+            to_string(self_.directory.targets[decision.target].record.address);
+        fields["busy"] = evidence.busy;
+        fields["peers_busy"] = evidence.peers_busy;
+        fields["overdue"] = evidence.overdue;
     }
-    if (const auto* const message = std::get_if<peer_message>(&read->body))
+    log(log_level::info, "flow_placed", std::move(fields));
+}
+
+void packet_duty::receive_beats()
+{
+    const time_point now = monotonic_now();
+    bool may_have_more = true;
+    while (may_have_more)
     {
-        decide_peer_message(state_, read->sender, *message, now, actions_);
-        carry_out();
+        const auto batch = peers_.receive();
+        for (const received_datagram& each : batch)
+        {
+            hear(each.bytes, each.source, now);
+        }
+        may_have_more = batch.size() == udp_port::batch_size;
     }
+    peers_.flush();
+    follow_state(now);
 }
 
-void packet_duty::handle_passed_packet(instance_id sender, payload_view datagram,
-                                       time_point now)
+void packet_duty::hear(payload_view datagram, const endpoint& source, time_point now)
 {
-    const auto read = decode_or_count(metrics_, [&] { return decode_packet(datagram); });
-    if (!read)
+    const auto message = decode_fleet(datagram, settings_.key, longest_fleet_datagram);
+    const auto* const beat = message ? std::get_if<fleet_beat>(&message->body) : nullptr;
+    if (beat == nullptr || beat->address.address != source.address)
     {
+        ++metrics_.peer_messages_refused;
         return;
     }
-    decide_passed_packet(state_, sender, read->header, read->payload, now, actions_);
-    carry_out();
+    const beat_outcome outcome = take_beat(self_, *message, *beat, now);
+    if (outcome.is_new)
+    {
+        log(log_level::info, "peer_heard",
+            {{"peer", to_string(beat->address)}, {"position", beat->position.value}});
+        send_beat(beat->address, false, now);
+    }
 }
 
-void packet_duty::carry_out()
+void packet_duty::wait_for_tick()
 {
-    for (const action& each : actions_)
-    {
-        std::visit([this](const auto& order) { carry_out_one(order); }, each);
-    }
-    actions_.clear();
-    count_finished();
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](const boost::system::error_code& failure)
+        {
+            if (failure)
+            {
+                return;
+            }
+            const time_point now = monotonic_now();
+            tick_now(now);
+            if (may_end(self_, now))
+            {
+                context_.stop();
+                return;
+            }
+            wait_for_tick();
+        });
 }
 
-void packet_duty::carry_out_one(const send_to_target& order)
+void packet_duty::tick_now(time_point now)
 {
-    const auto found = target_addresses_.find(order.target);
-    if (found == target_addresses_.end())
+    tick(self_, now);
+    place_waiting(now);
+    send_beats(now);
+    find_seeds(now);
+    watch_targets(now);
+    const bool is_reading = decide_reading(self_.fleet, self_.directory.position, now);
+    if (is_reading != was_reading_)
     {
-        carry_out_one(drop_packet{drop_reason::no_target});
-        return;
+        was_reading_ = is_reading;
+        log(log_level::info, is_reading ? "reading_started" : "reading_ended",
+            {{"state_age_ms", state_age(self_, now).count()},
+             {"peers", self_.fleet.peers.size()}});
     }
-    target_port_.queue(found->second,
-                       encode_packet(packet_builder_, order.header, order.payload));
+    outputs_.read({.is_wanted = is_reading, .position = self_.directory.position});
+    follow_state(now);
 }
 
-void packet_duty::carry_out_one(const send_to_caller& order)
+void packet_duty::send_beats(time_point now)
 {
-    if (order.header.kind == packet_kind::refusal)
+    const bool is_home_due = now >= next_home_beat_;
+    const bool is_far_due = now >= next_far_beat_;
+    if (is_home_due)
     {
-        ++metrics_.refusals[static_cast<std::size_t>(order.header.reason)];
+        next_home_beat_ = now + home_beat_interval;
     }
-    open_listener* const listener = listeners_.find(order.header.service);
-    if (listener == nullptr)
+    if (is_far_due)
     {
-        carry_out_one(drop_packet{drop_reason::unknown_listener});
-        return;
+        next_far_beat_ = now + far_beat_interval;
     }
-    listener->port->queue(order.header.return_path,
-                          encode_packet(packet_builder_, order.header, order.payload));
-}
-
-void packet_duty::carry_out_one(const pass_to_peer& order)
-{
-    const payload_view datagram =
-        encode_packet(packet_builder_, order.header, order.payload);
-    ++metrics_.packets_passed_on;
-    metrics_.packet_bytes_passed_on += datagram.size();
-    send_peer_body(order.peer, passed_packet{datagram});
-}
-
-void packet_duty::carry_out_one(const send_to_peer& order)
-{
-    send_peer_body(order.peer, order.message);
-    metrics_.control_bytes_sent += peer_bytes_.size();
+    for (const auto& [instance, peer] : self_.fleet.peers)
+    {
+        const bool is_home = peer.data_centre == self_.fleet.home;
+        if (is_home ? is_home_due : is_far_due)
+        {
+            send_beat(peer.address, is_home, now);
+        }
+    }
+    peers_.flush();
 }
 
-void packet_duty::carry_out_one(const drop_packet& order)
+void packet_duty::send_beat(const endpoint& to, bool has_loads, time_point now)
 {
-    ++metrics_.drops[static_cast<std::size_t>(order.reason)];
+    ++self_.beats_sent;
+    const fleet_message message{.sender = self_.fleet.self,
+                                .sequence = self_.beats_sent,
+                                .body = make_beat(self_, has_loads, now)};
+    const std::vector<std::byte> bytes = encode_fleet(message, settings_.key);
+    metrics_.control_bytes_sent += bytes.size();
+    peers_.queue(to, bytes);
 }
 
-void packet_duty::send_peer_body(instance_id peer, const peer_body& body)
+void packet_duty::find_seeds(time_point now)
 {
-    peer_bytes_.clear();
-    const known_member* const known = find_member(state_.members, peer);
-    if (known == nullptr)
+    if (now < next_seeds_)
     {
-        carry_out_one(drop_packet{drop_reason::no_keeper});
         return;
     }
-    encode_peer(peer_builder_,
-                {.sender = state_.members.self.instance,
-                 .sequence = ++peer_sequence_,
-                 .body = body},
-                settings_.key, peer_bytes_);
-    peer_port_.queue(known->digest.address, peer_bytes_);
-}
-
-void packet_duty::flush()
-{
-    target_port_.flush();
-    peer_port_.flush();
-    listeners_.flush();
-}
-
-void packet_duty::count_finished()
-{
-    for (const finished_request& each : state_.finished)
+    next_seeds_ = now + seeds_interval;
+    for (const endpoint& each : settings_.seeds)
     {
-        outcome_counters& outcomes = metrics_.outcomes;
-        if (each.has_timed_out)
+        const endpoint seed{.address = each.address, .port = settings_.peer.port};
+        const bool is_known =
+            seed.address == settings_.peer.address ||
+            std::any_of(self_.fleet.peers.begin(), self_.fleet.peers.end(),
+                        [&](const auto& peer) { return peer.second.address == seed; });
+        if (!is_known)
         {
-            ++outcomes.timed_out;
-            continue;
+            send_beat(seed, false, now);
         }
-        outcomes.answered += each.outcome == request_outcome::answered ? 1U : 0U;
-        outcomes.refused_not_run += each.outcome == request_outcome::not_run ? 1U : 0U;
-        outcomes.refused_unknown += each.outcome == request_outcome::unknown ? 1U : 0U;
-        const inflight_request& request = each.request;
-        add_latency(metrics_, {request.service, request.tenant, request.traffic_class},
-                    each.latency);
     }
-    state_.finished.clear();
+    for (const fleet_member& each : self_.fleet.strangers)
+    {
+        send_beat(each.address, false, now);
+    }
+    self_.fleet.strangers.clear();
+    peers_.flush();
 }
 
-void packet_duty::wait_for_tick()
+void packet_duty::follow_state(time_point now)
 {
-    timer_.expires_after(tick_interval);
-    timer_.async_wait(
-        [this](const boost::system::error_code& failure)
-        {
-            if (!failure)
-            {
-                on_tick();
-            }
-        });
+    if (is_asking_)
+    {
+        return;
+    }
+    const fleet_peer* const teller =
+        better_informed(self_.fleet,
+                        {.position = self_.directory.position,
+                         .configuration = self_.configuration.revision,
+                         .avoided = last_asked_,
+                         .random = mix(self_.incarnation, self_.beats_sent)},
+                        now);
+    if (teller == nullptr)
+    {
+        return;
+    }
+    is_asking_ = true;
+    last_asked_ = teller->instance;
+    outputs_.ask({.peer = teller->address,
+                  .instance = teller->instance,
+                  .request = {.position = self_.directory.position,
+                              .configuration = self_.configuration.revision}});
 }
 
-void packet_duty::on_tick()
+void packet_duty::watch_targets(time_point now)
 {
-    const time_point now = monotonic_now();
-    tick(state_, wall_now(), now, actions_);
-    carry_out();
-    flush();
-    order_store_commands();
-    fetch_newer_configuration(now);
-    if (now - last_snapshot_ >= snapshot_interval)
-    {
-        last_snapshot_ = now;
-        tell_platform_duty();
-        refresh_drains(now);
-        publish_snapshot();
-    }
-    if (has_left(state_, now))
-    {
-        const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
-            now - state_.leaving_since);
-        log(log_level::info, "stop_ended", {{"took_ms", taken.count()}});
-        context_.stop();
-        return;
+    const auto& evidence = self_.steering.choice.evidence;
+    were_suspect_.resize(evidence.size(), false);
+    for (std::size_t i = 0; i < evidence.size(); ++i)
+    {
+        const bool is_now = is_suspect(evidence[i]);
+        if (is_now == were_suspect_[i])
+        {
+            continue;
+        }
+        were_suspect_[i] = is_now;
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            now - evidence[i].answered_opening);
+        log(log_level::warning, is_now ? "target_suspect" : "target_trusted",
+            {{"target", to_string(self_.directory.targets[i].record.address)},
+             {"overdue", evidence[i].overdue},
+             {"last_answer_age_ms", age.count()}});
     }
-    wait_for_tick();
 }
 
 } // namespace kumquatpath
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -2,122 +2,107 @@
 #define KUMQUATPATH_DAEMON_PACKET_DUTY_HPP
 
 /// \file
-/// The duty that receives packets, decides them and sends them on.
+/// The duty that steers callers' packets, hears peers and owns the state of the instance.
 
-#include "listener_set.hpp"
 #include "messages.hpp"
 #include "metrics.hpp"
 #include "settings.hpp"
-#include "snapshot.hpp"
+#include "state_duty.hpp"
 
-#include <kumquatpath/decision/instance.hpp>
-#include <kumquatpath/edge/inbox.hpp>
+#include <kumquatpath/decision/entry.hpp>
+#include <kumquatpath/decision/waiting_room.hpp>
+#include <kumquatpath/edge/packet_format.hpp>
 #include <kumquatpath/edge/udp_port.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <flatbuffers/flatbuffers.h>
-
 #include <functional>
-#include <map>
-#include <memory>
-#include <unordered_map>
-#include <vector>
 
 namespace kumquatpath
 {
 
-/// Where the packet duty sends what the other duties must know. Each function is called
-/// on the thread of the packet duty and must not wait.
+/// Where the packet duty sends what other duties must know. Each function is called on
+/// the packet duty's thread and must not wait.
 struct packet_duty_outputs
 {
-    std::function<void(transfer_message)> transfer;
-    std::function<void(platform_message)> platform;
-    std::function<void(roster_order)> roster;
-    std::function<void(shared_snapshot)> operators;
+    std::function<void(const reading_order&)> read;
+    std::function<void(const ask_peer&)> ask;
+    std::function<void(bool)> set_ready;
 };
 
-/// Owns every UDP socket and the instance_state. All of it belongs to the thread in
-/// run().
-///
-/// A packet that cannot be served is counted by reason and dropped; it costs no memory.
+/// Owns the UDP ports and the entry. All of it belongs to the thread in run().
 class packet_duty
 {
 public:
-    /// Binds the ports of peers and targets; listeners follow with the configuration.
-    /// Throws boost::system::system_error if a port cannot be bound.
-    packet_duty(const daemon_settings& settings, packet_duty_outputs outputs);
-    ~packet_duty();
-    packet_duty(const packet_duty&) = delete;
-    packet_duty& operator=(const packet_duty&) = delete;
+    /// Binds the ports. Throws boost::system::system_error if that fails.
+    packet_duty(const daemon_settings& settings, const packet_format& format,
+                std::uint64_t start, packet_duty_outputs outputs);
 
     /// Returns the context whose thread this duty is.
     boost::asio::io_context& context();
 
     /// Takes a message of another duty.
-    void handle(packet_message message);
+    void handle(packet_input message);
 
-    /// Serves until a stop was requested and has ended.
+    /// Serves until a graceful stop has ended.
     void run();
 
 private:
-    void adopt(const checked_envelope& envelope);
-    void index_targets(const configuration& whole);
-    void note_listed_members(const members_listed& listed);
-
-    void receive_from_callers(open_listener& listener);
-    void receive_from_targets();
-    void receive_from_peers();
-    template <class Handle>
-    void receive_batches(udp_port& port, Handle handle);
-    void handle_caller_datagram(const open_listener& listener,
-                                const received_datagram& datagram, time_point now);
-    void handle_target_datagram(const received_datagram& datagram, time_point now);
-    void handle_peer_datagram(const received_datagram& datagram, time_point now);
-    void handle_passed_packet(instance_id sender, payload_view datagram, time_point now);
-
-    void carry_out();
-    void carry_out_one(const send_to_target& order);
-    void carry_out_one(const send_to_caller& order);
-    void carry_out_one(const pass_to_peer& order);
-    void carry_out_one(const send_to_peer& order);
-    void carry_out_one(const drop_packet& order);
-    void send_peer_body(instance_id peer, const peer_body& body);
-    void flush();
-    void count_finished();
-
+    void take(state_was_read&& message);
+    void take(reading_failed&& message);
+    void take(state_was_told&& message);
+    void take(asking_ended&& message);
+    void take(state_was_asked&& message);
+    void take(page_was_asked&& message);
+    void take(stop_was_asked&& message);
+    void take(settings_were_read&& message);
+
+    void receive_packets();
+    void steer_packet(const received_packet& received, time_point now);
+    void forward(const received_packet& received, const steering_decision& decision);
+    void refuse(const waiting_opening& opening, time_point now);
+    void let_wait(const flow_packet& packet, const received_packet& received,
+                  time_point now);
+    void place_waiting(time_point now);
+    void log_placement(const flow_packet& packet, const steering_decision& decision,
+                       time_point now);
+    bool may_log(time_point now);
+    void receive_beats();
+    void hear(payload_view datagram, const endpoint& source, time_point now);
+    void note_state(std::string_view from, const state_outcome& outcome,
+                    bool is_configuration_new, time_point now);
     void wait_for_tick();
-    void on_tick();
-    void tell_platform_duty();
-    void order_store_commands();
-    void fetch_newer_configuration(time_point now);
-    void publish_snapshot();
-    void refresh_drains(time_point now);
-    shared_snapshot make_snapshot() const;
+    void tick_now(time_point now);
+    void send_beats(time_point now);
+    void send_beat(const endpoint& to, bool has_loads, time_point now);
+    void find_seeds(time_point now);
+    void follow_state(time_point now);
+    void watch_targets(time_point now);
 
     daemon_settings settings_;
+    const packet_format& format_;
     packet_duty_outputs outputs_;
     boost::asio::io_context context_{1};
-    boost::asio::steady_timer timer_{context_};
-    instance_state state_;
-    metrics metrics_;
-    action_list actions_;
-    flatbuffers::FlatBufferBuilder packet_builder_;
-    flatbuffers::FlatBufferBuilder peer_builder_;
-    std::vector<std::byte> peer_bytes_;
-    std::uint64_t peer_sequence_ = 0;
-    listener_set listeners_;
-    std::unordered_map<target_id, endpoint> target_addresses_;
-    std::map<endpoint, target_id> targets_by_address_;
-    udp_port target_port_;
-    udp_port peer_port_;
-    std::shared_ptr<const std::string> envelope_text_;
-    time_point last_snapshot_{};
-    time_point last_drains_{};
-    std::vector<drain_status> drains_;
-    time_point last_fetch_{};
-    std::uint64_t published_version_ = 0;
+    udp_port data_;
+    udp_port peers_;
+    boost::asio::steady_timer timer_;
+    entry self_;
+    waiting_room waiting_;
+    instance_metrics metrics_;
+    std::vector<std::byte> scratch_;
+    std::vector<bool> were_suspect_;
+    bool is_asking_ = false;
+    /// The peer that was asked and has not answered.
+    instance_id last_asked_;
+    bool was_reading_ = false;
+    bool is_source_lost_ = false;
+    time_point next_home_beat_;
+    time_point next_far_beat_;
+    time_point next_seeds_;
+    time_point log_refill_;
+    std::uint32_t log_allowance_ = 0;
+    std::uint64_t logged_held_back_ = 0;
 };
 
 } // namespace kumquatpath
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -2,60 +2,55 @@
 #define KUMQUATPATH_DAEMON_SETTINGS_HPP
 
 /// \file
-/// What one instance is told when it starts: a JSON file, with flags over it.
+/// What one entry instance is told when it starts: a JSON file.
 
-#include <kumquatpath/edge/peer_codec.hpp>
+#include <kumquatpath/edge/peer_seal.hpp>
 #include <kumquatpath/model/endpoint.hpp>
 
 #include <boost/leaf/result.hpp>
 
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace kumquatpath
 {
 
-/// A range of addresses in which peers may be, such as 127.1.0.0/16.
-struct network
+/// Which packets and which configuration an instance serves.
+enum class served_interface : std::uint8_t
 {
-    std::uint32_t address = 0;
-    std::uint32_t mask = 0;
+    /// The packets of wire/packet.fbs, and what kumquatpath's client publishes.
+    own,
+    /// The users' platform: its packets, its operators' configuration, its hosts.
+    platform,
 };
 
-/// A peer that is named in the settings, to find the others through.
-struct seed_peer
-{
-    std::string name;
-    endpoint address;
-};
-
-/// The settings of one instance.
+/// The settings of one entry instance.
 struct daemon_settings
 {
     std::string name;
     std::string data_centre;
-    /// Where callers' datagrams are received; unset: at each listener's own address.
-    std::optional<std::uint32_t> data_address;
-    /// Where packets to targets leave and answers arrive.
-    endpoint egress;
-    /// Where peers are heard, over UDP and TCP.
+    /// Where the fabric sends callers' packets.
+    endpoint data;
+    /// Where the fabric asks whether the instance is ready, and under which path.
+    endpoint ready;
+    std::string ready_path;
+    /// Where metrics and the status are served.
+    endpoint metrics;
+    /// Where peers are heard, over UDP and TCP; the port is the same on all instances.
     endpoint peer;
-    /// Where operators' queries are answered over HTTP.
-    endpoint operators;
-    /// The platform's key-value service.
-    endpoint platform;
     peer_key key{};
-    /// Only messages from these networks are heard on the port between instances.
-    std::vector<network> peer_networks;
-    std::vector<seed_peer> seeds;
+    /// Machines on which peers may be found; their ports are not used.
+    std::vector<endpoint> seeds;
+    /// Where the shared state is kept.
+    endpoint state;
+    served_interface serves = served_interface::own;
 };
 
 /// One thing that is wrong with a settings file.
 struct settings_fault
 {
-    /// The JSON pointer of the place, empty for the file itself.
-    std::string pointer;
+    /// The key at fault, empty for the file itself.
+    std::string key;
     /// What was expected there.
     std::string expected;
 };
@@ -63,9 +58,6 @@
 /// Reads the settings in \p text. Fails with settings_fault.
 boost::leaf::result<daemon_settings> read_settings(std::string_view text);
 
-/// Returns whether \p address is in one of \p networks.
-bool is_in(const std::vector<network>& networks, std::uint32_t address);
-
 } // namespace kumquatpath
 
 #endif
--- a/src/entry/state_duty.hpp
+++ b/src/daemon/state_duty.hpp
@@ -1,5 +1,5 @@
-#ifndef KUMQUATPATH_ENTRY_STATE_DUTY_HPP
-#define KUMQUATPATH_ENTRY_STATE_DUTY_HPP
+#ifndef KUMQUATPATH_DAEMON_STATE_DUTY_HPP
+#define KUMQUATPATH_DAEMON_STATE_DUTY_HPP
 
 /// \file
 /// The duty that reads the shared state where it is kept.
--- /dev/null
+++ b/src/daemon/status.cpp
@@ -0,0 +1,45 @@
+#include "status.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+
+namespace kumquatpath
+{
+
+std::string status_page(const daemon_settings& settings, const entry& self,
+                        time_point now)
+{
+    boost::json::array peers;
+    for (const auto& [instance, peer] : self.fleet.peers)
+    {
+        const endpoint operators{.address = peer.address.address,
+                                 .port = settings.metrics.port};
+        peers.emplace_back(to_string(operators));
+    }
+    const auto& targets = self.directory.targets;
+    const auto& evidence = self.steering.choice.evidence;
+    const auto taking =
+        std::count_if(targets.begin(), targets.end(),
+                      [&](const known_target& each)
+                      { return each.is_used && takes_new_flows(each, now); });
+    const auto suspects = std::count_if(evidence.begin(), evidence.end(), is_suspect);
+    const auto& table = self.configuration.table;
+    return boost::json::serialize(
+        boost::json::object{{"instance", settings.name},
+                            {"data_centre", settings.data_centre},
+                            {"generation", table ? table->generation.value : 0},
+                            {"revision", self.configuration.revision.value},
+                            {"position", self.directory.position.value},
+                            {"state_age_ms", state_age(self, now).count()},
+                            {"ready", is_ready(self)},
+                            {"leaving", self.leaving_since.has_value()},
+                            {"flows", self.steering.flows.size()},
+                            {"targets", taking},
+                            {"suspects", suspects},
+                            {"peers", std::move(peers)}});
+}
+
+} // namespace kumquatpath
--- a/src/daemon/transfer_duty.cpp
+++ b/src/daemon/transfer_duty.cpp
@@ -1,13 +1,14 @@
 #include "transfer_duty.hpp"
 
+#include <kumquatpath/edge/fleet_codec.hpp>
 #include <kumquatpath/edge/log.hpp>
-#include <kumquatpath/edge/peer_codec.hpp>
-#include <kumquatpath/model/configuration_envelope.hpp>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/leaf/handle_errors.hpp>
+#include <boost/endian/conversion.hpp>
 
 #include <array>
 
@@ -17,11 +18,11 @@
 {
 
 namespace asio = boost::asio;
-namespace leaf = boost::leaf;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t most_sessions = 64;
-constexpr auto session_timeout = std::chrono::seconds(5);
+/// A teller serves few at a time, so that each is done soon and can tell others.
+constexpr std::size_t most_sessions = 6;
+constexpr auto session_timeout = std::chrono::milliseconds(1500);
 constexpr std::size_t length_size = 4;
 
 tcp::endpoint to_tcp(const endpoint& value)
@@ -29,65 +30,32 @@
     return {asio::ip::address_v4(value.address), value.port};
 }
 
-std::size_t read_length(const std::array<unsigned char, length_size>& bytes)
-{
-    std::size_t length = 0;
-    for (const unsigned char each : bytes)
-    {
-        length = (length << 8U) | each;
-    }
-    return length;
-}
-
 /// Returns \p message behind its length.
 std::vector<std::byte> framed(const std::vector<std::byte>& message)
 {
-    std::vector<std::byte> frame;
-    frame.reserve(length_size + message.size());
-    for (const unsigned shift : {24U, 16U, 8U, 0U})
-    {
-        frame.push_back(static_cast<std::byte>((message.size() >> shift) & 0xffU));
-    }
+    std::vector<std::byte> frame(length_size);
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char*>(frame.data()),
+                                 static_cast<std::uint32_t>(message.size()));
     frame.insert(frame.end(), message.begin(), message.end());
     return frame;
 }
 
-std::vector<std::byte> encoded(instance_id sender, const peer_body& body,
-                               const peer_key& key)
-{
-    flatbuffers::FlatBufferBuilder builder;
-    std::vector<std::byte> message;
-    encode_peer(builder, {.sender = sender, .body = body}, key, message);
-    return message;
-}
-
-/// Returns the configuration in \p text after its check, or nothing.
-std::shared_ptr<const configuration> checked(const std::string& text)
-{
-    return leaf::try_handle_all(
-        [&]() -> leaf::result<std::shared_ptr<const configuration>>
-        {
-            BOOST_LEAF_AUTO(whole, read_envelope(text));
-            return std::make_shared<const configuration>(std::move(whole));
-        },
-        []() { return std::shared_ptr<const configuration>(); });
-}
-
 } // namespace
 
-/// One connection: a frame goes each way. It ends itself after session_timeout.
+/// One connection: a frame goes each way. It closes itself after session_timeout.
 struct transfer_duty::session : std::enable_shared_from_this<session>
 {
+    using handler = std::function<void(payload_view)>;
+
     session(transfer_duty& duty, tcp::socket connected)
         : owner(duty), socket(std::move(connected)), deadline(socket.get_executor())
     {
         ++owner.open_sessions_;
-        is_counted = true;
     }
 
     ~session()
     {
-        owner.open_sessions_ -= is_counted ? 1U : 0U;
+        --owner.open_sessions_;
     }
 
     void start_deadline()
@@ -106,15 +74,15 @@
     }
 
     /// Reads one frame and gives it to \p then; an over-long frame ends the session.
-    void read(std::function<void(payload_view)> then)
+    void read(handler then)
     {
         asio::async_read(
             socket, asio::buffer(length),
             [self = shared_from_this(), then = std::move(then)](
                 const boost::system::error_code& failure, std::size_t /*size*/) mutable
             {
-                const std::size_t size = read_length(self->length);
-                if (failure || size > longest_peer_frame)
+                const std::size_t size = boost::endian::load_big_u32(self->length.data());
+                if (failure || size > longest_fleet_frame)
                 {
                     return;
                 }
@@ -123,7 +91,7 @@
             });
     }
 
-    void read_body(std::function<void(payload_view)> then)
+    void read_body(handler then)
     {
         asio::async_read(
             socket, asio::buffer(incoming),
@@ -158,13 +126,12 @@
     std::array<unsigned char, length_size> length{};
     std::vector<std::byte> incoming;
     std::vector<std::byte> outgoing;
-    bool is_counted = false;
 };
 
-transfer_duty::transfer_duty(const daemon_settings& settings,
-                             std::function<void(packet_message)> output)
-    : settings_(settings), output_(std::move(output)),
-      acceptor_(context_, to_tcp(settings.peer))
+transfer_duty::transfer_duty(const transfer_options& options,
+                             std::function<void(packet_input)> output)
+    : options_(options), output_(std::move(output)),
+      acceptor_(context_, to_tcp(options.local))
 {
     accept();
 }
@@ -176,6 +143,7 @@
 
 void transfer_duty::run()
 {
+    const auto work = asio::make_work_guard(context_);
     context_.run();
 }
 
@@ -184,16 +152,6 @@
     context_.stop();
 }
 
-void transfer_duty::handle(const transfer_message& message)
-{
-    if (const auto* const order = std::get_if<fetch_configuration>(&message))
-    {
-        fetch(*order);
-        return;
-    }
-    published_ = std::get<publish_configuration>(message);
-}
-
 void transfer_duty::accept()
 {
     acceptor_.async_accept(
@@ -203,24 +161,16 @@
             {
                 return;
             }
-            boost::system::error_code unknown;
-            const auto source =
-                failure ? tcp::endpoint() : socket.remote_endpoint(unknown);
-            const bool is_welcome =
-                !failure && !unknown && open_sessions_ < most_sessions &&
-                is_in(settings_.peer_networks, source.address().to_v4().to_uint());
-            if (is_welcome)
+            if (!failure && open_sessions_ < most_sessions)
             {
                 const auto opened = std::make_shared<session>(*this, std::move(socket));
                 opened->start_deadline();
                 opened->read(
                     [this, weak = std::weak_ptr(opened)](payload_view message)
                     {
-                        const auto alive = weak.lock();
-                        const auto reply = reply_to(message);
-                        if (alive && !reply.empty())
+                        if (const auto alive = weak.lock())
                         {
-                            alive->write(reply, [] {});
+                            answer(alive, message);
                         }
                     });
             }
@@ -228,85 +178,73 @@
         });
 }
 
-std::vector<std::byte> transfer_duty::reply_to(payload_view message)
+void transfer_duty::answer(const std::shared_ptr<session>& opened, payload_view message)
 {
-    const auto read = decode_peer(message, settings_.key, longest_peer_frame);
-    if (!read)
-    {
-        return {};
-    }
-    const auto* const request = std::get_if<configuration_request>(&read->body);
+    const auto read = decode_fleet(message, options_.key, longest_fleet_frame);
+    const auto* const request = read ? std::get_if<state_request>(&read->body) : nullptr;
     if (request == nullptr)
     {
-        return {};
+        log(log_level::warning, "peer_request_refused", {{"bytes", message.size()}});
+        return;
     }
-    configuration_reply reply{.generation = published_.number,
-                              .members = published_.members};
-    if (published_.text && published_.number > request->newer_than)
+    const auto send = [this, opened](const state_reply& reply)
     {
-        reply.envelope = *published_.text;
-    }
-    return encoded(id_of<instance_id>(settings_.name), reply, settings_.key);
+        asio::post(context_,
+                   [this, opened, reply]
+                   {
+                       const fleet_message whole{.sender = options_.self, .body = reply};
+                       opened->write(encode_fleet(whole, options_.key), [] {});
+                   });
+    };
+    output_(state_was_asked{.request = *request, .answer = send});
 }
 
-void transfer_duty::fetch(const fetch_configuration& order)
+void transfer_duty::ask(const ask_peer& order)
 {
-    if (is_fetching_)
-    {
-        return;
-    }
-    is_fetching_ = true;
     const auto opened = std::make_shared<session>(*this, tcp::socket(context_));
     opened->start_deadline();
-    const auto request = encoded(id_of<instance_id>(settings_.name),
-                                 configuration_request{order.newer_than}, settings_.key);
-    // The guard outlives every step of the session, so that a failed fetch ends as well.
-    const std::shared_ptr<void> guard(nullptr, [this](void*) { is_fetching_ = false; });
+    const fleet_message request{.sender = options_.self, .body = order.request};
+    // The guard outlives every step of the session, so that a failed one ends as well.
+    const std::shared_ptr<void> guard(nullptr,
+                                      [this](void*) { output_(asking_ended{}); });
     opened->socket.async_connect(
         to_tcp(order.peer),
-        [this, opened, request, guard](const boost::system::error_code& failure)
+        [this, opened, guard, by = order.instance,
+         message = encode_fleet(request, options_.key)](
+            const boost::system::error_code& failure)
         {
             if (failure)
             {
                 return;
             }
-            opened->write(request,
-                          [this, weak = std::weak_ptr(opened), guard]
-                          {
-                              if (const auto alive = weak.lock())
-                              {
-                                  alive->read([this, guard](payload_view message)
-                                              { take_reply(message); });
-                              }
-                          });
+            const auto read_answer = [this, weak = std::weak_ptr(opened), guard, by]
+            {
+                if (const auto alive = weak.lock())
+                {
+                    alive->read([this, guard, by](payload_view answered)
+                                { take_reply(by, answered); });
+                }
+            };
+            opened->write(message, read_answer);
         });
 }
 
-void transfer_duty::take_reply(payload_view message)
+void transfer_duty::take_reply(instance_id by, payload_view message)
 {
-    const auto read = decode_peer(message, settings_.key, longest_peer_frame);
-    if (!read)
-    {
-        return;
-    }
-    const auto* const reply = std::get_if<configuration_reply>(&read->body);
+    const auto read = decode_fleet(message, options_.key, longest_fleet_frame);
+    const auto* const reply = read ? std::get_if<state_reply>(&read->body) : nullptr;
     if (reply == nullptr)
     {
+        log(log_level::warning, "peer_reply_refused",
+            {{"peer", by.value}, {"bytes", message.size()}});
         return;
     }
-    output_(members_listed{.members = reply->members, .is_from_peer = true});
-    if (reply->envelope.empty())
+    state_was_told told{.by = by, .reply = *reply};
+    if (!told.reply.configuration_text.empty())
     {
-        return;
-    }
-    const auto whole = checked(reply->envelope);
-    if (!whole)
-    {
-        log(log_level::error, "configuration_refused", {{"from", "peer"}});
-        return;
+        told.table = options_.read_configuration(told.reply.configuration_text);
     }
-    output_(checked_envelope{.whole = whole,
-                             .text = std::make_shared<std::string>(reply->envelope)});
+    output_(std::move(told));
 }
 
 } // namespace kumquatpath
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -55,6 +55,13 @@
     }
 }
 
+bool is_withdrawn(const entry& self)
+{
+    const auto& withdrawn = self.configuration.table->draining_instances;
+    return std::find(withdrawn.begin(), withdrawn.end(), self.fleet.self) !=
+           withdrawn.end();
+}
+
 } // namespace
 
 entry make_entry(const entry_options& options)
@@ -71,7 +78,7 @@
 bool is_ready(const entry& self)
 {
     return self.configuration.table != nullptr && self.directory.position.value > 0 &&
-           !self.leaving_since;
+           !self.leaving_since && !is_withdrawn(self);
 }
 
 std::chrono::milliseconds state_age(const entry& self, time_point now)
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -24,11 +24,6 @@
 constexpr duration idle_memory = std::chrono::seconds(20);
 constexpr duration sweep_interval = std::chrono::milliseconds(100);
 
-std::uint64_t flow_key(const flow_packet& packet)
-{
-    return mix(pack(packet.caller), pack(packet.listener));
-}
-
 service_id pick_service(const route& chosen, std::uint64_t random)
 {
     std::uint64_t total = 0;
@@ -147,7 +142,7 @@
         return {.verdict = steering_verdict::no_route};
     }
     steering.random = mix(steering.random, pack(packet.caller));
-    const std::uint64_t key = flow_key(packet);
+    const std::uint64_t key = packet.flow.value;
     const auto found = steering.flows.find(key);
     if (found != steering.flows.end() && now < found->second.opened_at + opening_lifetime)
     {
@@ -270,7 +265,7 @@
     {
         return;
     }
-    seen_flow& flow = steering.flows[flow_key(packet)];
+    seen_flow& flow = steering.flows[packet.flow.value];
     flow = {.target = target,
             .opened_at = now,
             .answered_at = now,
@@ -295,7 +290,7 @@
     {
         return {.verdict = steering_verdict::unknown_token};
     }
-    const auto found = steering.flows.find(flow_key(packet));
+    const auto found = steering.flows.find(packet.flow.value);
     if (found == steering.flows.end())
     {
         adopt(steering, directory, packet, *told, now);
--- a/src/decision/waiting_room.cpp
+++ b/src/decision/waiting_room.cpp
@@ -11,12 +11,6 @@
 /// A caller gives up an opening that nobody answers a little later than this.
 constexpr duration longest_wait = std::chrono::milliseconds(1300);
 
-bool is_same_flow(const waiting_opening& left, const waiting_opening& right)
-{
-    return left.packet.caller == right.packet.caller &&
-           left.packet.listener == right.packet.listener;
-}
-
 /// Returns whether \p left is to be placed before \p right.
 bool goes_before(const waiting_opening& left, const waiting_opening& right,
                  time_point now)
@@ -36,7 +30,7 @@
 {
     const auto same = std::find_if(room.openings.begin(), room.openings.end(),
                                    [&](const waiting_opening& each)
-                                   { return is_same_flow(each, opening); });
+                                   { return each.packet.flow == opening.packet.flow; });
     if (same != room.openings.end())
     {
         opening.begun = same->begun;
--- a/src/edge/fleet_codec.cpp
+++ b/src/edge/fleet_codec.cpp
@@ -160,12 +160,12 @@
                                    bytes.size());
     if (!wire::VerifyFleetMessageBuffer(verifier))
     {
-        return leaf::new_error(drop_reason::malformed);
+        return leaf::new_error(message_fault::malformed);
     }
     const wire::FleetMessage& read = *wire::GetFleetMessage(bytes.data());
     if (read.version() != fleet_version)
     {
-        return leaf::new_error(drop_reason::unknown_version);
+        return leaf::new_error(message_fault::unknown_version);
     }
     fleet_message result{.sender = {read.sender()}, .sequence = read.sequence()};
     if (const auto* const beat = read.body_as_Beat())
@@ -183,7 +183,7 @@
     }
     else
     {
-        return leaf::new_error(drop_reason::malformed);
+        return leaf::new_error(message_fault::malformed);
     }
     return result;
 }
--- /dev/null
+++ b/src/edge/own_packet_format.cpp
@@ -0,0 +1,83 @@
+#include <kumquatpath/edge/own_packet_format.hpp>
+#include <kumquatpath/edge/packet_codec.hpp>
+
+#include <algorithm>
+
+namespace kumquatpath
+{
+namespace
+{
+
+bool is_callers(packet_kind kind)
+{
+    return kind == packet_kind::open || kind == packet_kind::data ||
+           kind == packet_kind::close || kind == packet_kind::cancel;
+}
+
+/// Writes a packet to \p out, if it fits, and returns its size.
+std::size_t write(const packet_header& header, payload_view payload,
+                  std::span<std::byte> out)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    const payload_view bytes = encode_packet(builder, header, payload);
+    if (bytes.size() > out.size())
+    {
+        return 0;
+    }
+    std::copy(bytes.begin(), bytes.end(), out.begin());
+    return bytes.size();
+}
+
+} // namespace
+
+std::optional<flow_packet> own_packet_format::read(const received_packet& packet) const
+{
+    const auto decoded = decode_packet(packet.datagram);
+    if (!decoded || !is_callers(decoded->header.kind))
+    {
+        return std::nullopt;
+    }
+    const packet_header& header = decoded->header;
+    return flow_packet{.flow = header.flow,
+                       .caller = packet.source,
+                       .listener = header.listener,
+                       .token = header.token,
+                       .is_opening = header.kind == packet_kind::open,
+                       .is_end = header.kind == packet_kind::close,
+                       .has_payload = !decoded->payload.empty()};
+}
+
+std::size_t own_packet_format::write_forward(const received_packet& packet,
+                                             const target_record& target,
+                                             flow_token token,
+                                             std::span<std::byte> out) const
+{
+    const auto decoded = decode_packet(packet.datagram);
+    if (!decoded)
+    {
+        return 0;
+    }
+    packet_header header = decoded->header;
+    header.token = token;
+    header.service = target.service;
+    header.return_path = packet.source;
+    return write(header, decoded->payload, out);
+}
+
+std::size_t own_packet_format::write_refusal(const received_packet& packet,
+                                             std::span<std::byte> out, endpoint& to) const
+{
+    const auto decoded = decode_packet(packet.datagram);
+    if (!decoded)
+    {
+        return 0;
+    }
+    packet_header header = decoded->header;
+    header.kind = packet_kind::refusal;
+    header.outcome = request_outcome::not_run;
+    header.reason = refusal_reason::overload;
+    to = packet.source;
+    return write(header, {}, out);
+}
+
+} // namespace kumquatpath
--- a/src/edge/packet_codec.cpp
+++ b/src/edge/packet_codec.cpp
@@ -26,7 +26,8 @@
             .outcome = static_cast<request_outcome>(packet.outcome()),
             .reason = static_cast<refusal_reason>(packet.reason()),
             .repeatable = packet.repeatable(),
-            .hops = packet.hops(),
+            .token = {packet.token()},
+            .listener = unpack_endpoint(packet.listener()),
             .service = {packet.service()},
             .tenant = {packet.tenant()},
             .traffic_class = {packet.traffic_class()},
@@ -54,16 +55,16 @@
     flatbuffers::Verifier verifier(as_bytes(datagram), datagram.size());
     if (datagram.size() > longest_datagram || !wire::VerifyPacketBuffer(verifier))
     {
-        return boost::leaf::new_error(drop_reason::malformed);
+        return boost::leaf::new_error(message_fault::malformed);
     }
     const wire::Packet& packet = *wire::GetPacket(datagram.data());
     if (packet.version() != packet_version)
     {
-        return boost::leaf::new_error(drop_reason::unknown_version);
+        return boost::leaf::new_error(message_fault::unknown_version);
     }
     if (!is_well_formed(packet))
     {
-        return boost::leaf::new_error(drop_reason::malformed);
+        return boost::leaf::new_error(message_fault::malformed);
     }
     return decoded_packet{.header = header_of(packet), .payload = payload_of(packet)};
 }
@@ -77,9 +78,9 @@
     const auto packet = wire::CreatePacket(
         builder, packet_version, static_cast<wire::PacketKind>(header.kind),
         static_cast<wire::Outcome>(header.outcome),
-        static_cast<std::uint8_t>(header.reason), header.repeatable, header.hops,
-        header.service.value, header.tenant.value, header.traffic_class.value,
-        header.flow.value, header.request.value,
+        static_cast<std::uint8_t>(header.reason), header.repeatable, header.token.value,
+        pack(header.listener), header.service.value, header.tenant.value,
+        header.traffic_class.value, header.flow.value, header.request.value,
         static_cast<std::uint32_t>(header.deadline.count()), header.fragment,
         header.fragments, pack(header.return_path), bytes);
     wire::FinishPacketBuffer(builder, packet);
--- a/src/edge/peer_seal.cpp
+++ b/src/edge/peer_seal.cpp
@@ -32,11 +32,11 @@
 {
     if (message.size() <= hash_size || message.size() > longest)
     {
-        return boost::leaf::new_error(drop_reason::malformed);
+        return boost::leaf::new_error(message_fault::malformed);
     }
     if (!is_authentic(message, key))
     {
-        return boost::leaf::new_error(drop_reason::unauthenticated_peer);
+        return boost::leaf::new_error(message_fault::unauthenticated);
     }
     return message.subspan(hash_size);
 }
--- a/test/client/client_test.cpp
+++ b/test/client/client_test.cpp
@@ -56,6 +56,8 @@
     LONGS_EQUAL(2, run({"rollback", "soon"}));
     LONGS_EQUAL(2, run({"show", "--wait"}));
     LONGS_EQUAL(2, run({"show"}));
+    LONGS_EQUAL(2, run({"status"}));
+    LONGS_EQUAL(2, run({"metrics"}));
     LONGS_EQUAL(2, run({"check", "/no/such/file"}));
 }
 
