--- a/test/edge/packet_codec_test.cpp
+++ b/test/edge/packet_codec_test.cpp
@@ -30,16 +30,16 @@
 }
 
 /// Returns the reason why \p datagram is refused, or nothing when it is read.
-std::optional<drop_reason> refusal_of(payload_view datagram)
+std::optional<message_fault> refusal_of(payload_view datagram)
 {
-    std::optional<drop_reason> refusal;
+    std::optional<message_fault> refusal;
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void>
         {
             BOOST_LEAF_CHECK(decode_packet(datagram));
             return {};
         },
-        [&](drop_reason reason) { refusal = reason; }, [] {});
+        [&](message_fault reason) { refusal = reason; }, [] {});
     return refusal;
 }
 
@@ -76,7 +76,7 @@
     {
         const std::vector<std::byte> cut(datagram.begin(),
                                          datagram.begin() + static_cast<long>(size));
-        CHECK_TRUE(refusal_of(cut) == drop_reason::malformed);
+        CHECK_TRUE(refusal_of(cut) == message_fault::malformed);
     }
 }
 
@@ -84,5 +84,5 @@
 {
     const std::vector<std::byte> payload(longest_payload + 1);
     CHECK_TRUE(refusal_of(encode_packet(builder, sample_header(), payload)) ==
-               drop_reason::malformed);
+               message_fault::malformed);
 }
--- a/test/platform/packet_header_test.cpp
+++ b/test/platform/packet_header_test.cpp
@@ -22,9 +22,9 @@
                                           0x64, 0x40, 0x00, 0x07, 0x11, 0x22, 0x33, 0x44,
                                           0x00, 0x00, 0x00, 0x00, 0x20, 0x00, 0x00, 0x00};
 
-    payload_view view(const std::vector<unsigned char>& bytes)
+    received_packet view(std::span<const unsigned char> bytes)
     {
-        return std::as_bytes(std::span(bytes));
+        return {.datagram = std::as_bytes(bytes)};
     }
 
     std::vector<unsigned char> with_flags(unsigned char flags)
@@ -105,7 +105,8 @@
 {
     for (std::size_t size = 0; size < opening.size(); ++size)
     {
-        CHECK_FALSE(format.read(view(opening).first(size)).has_value());
+        CHECK_FALSE(format.read(view(std::span<const unsigned char>(opening).first(size)))
+                        .has_value());
     }
     auto packet = with_flags(1);
     packet.resize(32 + 1201);
@@ -121,11 +122,11 @@
     CHECK_FALSE(format.read(view(with_flags(0x01)))->is_end);
 }
 
-TEST(packet_header, a_reset_goes_from_the_listener_to_the_caller)
+TEST(packet_header, a_refusal_is_a_reset_from_the_listener_to_the_caller)
 {
     std::vector<std::byte> out(longest_forward);
     endpoint to;
-    const std::size_t size = format.write_reset(view(opening), out, to);
+    const std::size_t size = format.write_refusal(view(opening), out, to);
     const std::vector<unsigned char> expected = {
         0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x01, 0xbb, 0x9c,
         0x41, 0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x00, 0x00,
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -75,7 +75,7 @@
     UNSIGNED_LONGS_EQUAL(0xb, state->targets[1].key.value);
     UNSIGNED_LONGS_EQUAL(7, state->configuration->table->generation.value);
     UNSIGNED_LONGS_EQUAL(4, state->configuration->revision.value);
-    STRCMP_EQUAL("GET /v1/kv-range?prefix=&after=servers%2Fi-a",
+    STRCMP_EQUAL("GET /v1/kv-range?prefix=&after=servers/i-a",
                  server.requests.at(1).c_str());
 }
 
--- /dev/null
+++ b/test/smoke/platform_path_test.py
@@ -0,0 +1,215 @@
+#!/usr/bin/env python3
+"""Sends packets of the platform's form through two instances to two hosts.
+
+The hosts announce themselves in the stand-in store, and the operator's configuration lies
+there too. Usage: platform_path_test.py BUILD_DIRECTORY
+"""
+
+import base64
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+BUILD = sys.argv[1]
+STORE = "127.82.1.1:7000"
+INSTANCES = {"entry-1": "127.82.1.4", "entry-2": "127.82.1.5"}
+HOSTS = {"i-00ab": ("127.82.1.10", 9000), "i-00cd": ("127.82.1.11", 9000)}
+CALLER = ("127.82.1.20", 7001)
+SYN, ACK, FIN, RST = 32, 1, 64, 16
+LIMIT_SECONDS = 10
+
+
+def packet(flags, port, token=0, data=b"", listener_port=443, acknowledged=0):
+    """Returns a packet from the caller's port to 198.18.0.1."""
+    return struct.pack(">IIHH4s4sIIBBH", token, 0xA1B2C3D5, port, listener_port,
+                       socket.inet_aton("198.18.0.1"), socket.inet_aton(CALLER[0]), 7,
+                       acknowledged, flags, 0, len(data)) + data
+
+
+def bound(address):
+    result = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    result.bind(address)
+    result.settimeout(0.3)
+    return result
+
+
+def store(writes, deletes=()):
+    body = {"expected": [], "deletes": list(deletes),
+            "writes": [{"key": key, "value": base64.b64encode(value.encode()).decode()}
+                       for key, value in writes.items()]}
+    request = urllib.request.Request(f"http://{STORE}/v1/kv-txn",
+                                     data=json.dumps(body).encode(), method="POST")
+    urllib.request.urlopen(request, timeout=2).read()
+
+
+def ready(instance):
+    try:
+        with urllib.request.urlopen(f"http://{INSTANCES[instance]}:7002/ready", timeout=2):
+            return True
+    except (urllib.error.URLError, ConnectionError):
+        return False
+
+
+def wait_until(what, condition):
+    limit = time.time() + LIMIT_SECONDS
+    while not condition():
+        assert time.time() < limit, f"still not so: {what}"
+        time.sleep(0.05)
+
+
+def entry(name, state="ready"):
+    address, port = HOSTS[name]
+    return json.dumps({"service": "web", "address": f"{address}:{port}", "zone": "north",
+                       "version": "v1", "maxConcurrency": 3, "state": state,
+                       "warmupLeftMs": 0, "sequence": 1, "born": 5})
+
+
+def configuration(version, port):
+    return json.dumps({"version": version, "services": [], "limits": {}, "routes": [
+        {"name": "r", "host": "198.18.0.1", "prefix": f"/{port}/", "kind": "idempotent",
+         "timeoutMs": 1000, "latencyGoalMs": 250, "priority": 1, "service": "web"}]})
+
+
+class World:
+    def __init__(self, folder):
+        self.folder = folder
+        self.processes = {}
+        self.hosts = {name: bound(address) for name, address in HOSTS.items()}
+        self.caller = bound(CALLER)
+
+    def start(self, name, *arguments):
+        log = open(os.path.join(self.folder, f"{name}.log"), "a")
+        self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
+
+    def start_instance(self, name):
+        address = INSTANCES[name]
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "w") as file:
+            json.dump({"name": name, "data_centre": "north", "data": f"{address}:7001",
+                       "ready": f"{address}:7002", "ready_path": "/ready",
+                       "metrics": f"{address}:7003", "peer": f"{address}:7004",
+                       "peer_key": "5a" * 32, "state": STORE, "interface": "platform",
+                       "seeds": [f"{each}:1" for each in INSTANCES.values()]}, file)
+        self.start(name, os.path.join(BUILD, "src/daemon/kumquatpathd"), path)
+
+    def send(self, instance, data):
+        self.caller.sendto(data, (INSTANCES[instance], 7001))
+
+    def arrival(self):
+        """Returns which host got a datagram, with its tag, its token and the packet."""
+        limit = time.time() + 1
+        while time.time() < limit:
+            for name, host in self.hosts.items():
+                host.setblocking(False)
+                try:
+                    data = host.recv(2048)
+                    tag, token = struct.unpack(">QI", data[:12])
+                    return name, tag, token, data[8:]
+                except BlockingIOError:
+                    pass
+            time.sleep(0.005)
+        return None
+
+    def open(self, instance, port):
+        self.send(instance, packet(SYN, port))
+        arrived = self.arrival()
+        assert arrived is not None, "no host got the opening"
+        return arrived
+
+    def stop_all(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+def check_path(world):
+    name, tag, token, data = world.open("entry-1", 1000)
+    assert tag == int(name[2:], 16), (name, tag)
+    assert data[4:] == packet(SYN, 1000)[4:], "only the token may change"
+    for instance in INSTANCES:
+        world.send(instance, packet(ACK, 1000, token, b"GET /"))
+        followed = world.arrival()
+        assert followed and followed[0] == name and followed[2] == token, followed
+    world.send("entry-1", packet(ACK, 1001, token=77))
+    assert world.arrival() is None, "an unknown token must not be guessed"
+    world.send("entry-1", packet(SYN | ACK, 1002))
+    world.send("entry-1", packet(SYN, 1003, listener_port=444))
+    assert world.arrival() is None, "strange packets and unknown listeners are dropped"
+    return name, token
+
+
+def check_changes(world, name, token):
+    store({f"servers/{name}": entry(name, "draining"), "servers/i-zz": "x",
+           "servers/i-00ef": "not an entry"})
+    other = next(each for each in HOSTS if each != name)
+    wait_until("a draining host gets no new flow",
+               lambda: all(world.open(instance, 2000 + i)[0] == other
+                           for i in range(4) for instance in INSTANCES))
+    store({"op/config": configuration(2, 8443)}, [f"servers/{name}"])
+    wait_until("the new listener leads to the host",
+               lambda: (world.send("entry-2", packet(SYN, 3000, listener_port=8443)),
+                        world.arrival())[1] is not None)
+    world.send("entry-2", packet(ACK, 1000, token, b"more"))
+    followed = world.arrival()
+    assert followed and followed[0] == name, "an open flow stays at a host that is gone"
+
+
+def check_outage(world):
+    world.processes["platform"].kill()
+    world.processes["platform"].wait()
+    world.start_instance("entry-3")
+    wait_until("a new instance is ready by what peers tell", lambda: ready("entry-3"))
+    world.send("entry-3", packet(SYN, 4000, listener_port=8443))
+    assert world.arrival() is not None, "the new instance serves"
+
+
+def check_stop(world):
+    world.processes["entry-1"].send_signal(signal.SIGHUP)
+    time.sleep(0.1)
+    assert world.processes["entry-1"].poll() is None, "SIGHUP ends no instance"
+    started = time.time()
+    world.processes["entry-1"].send_signal(signal.SIGTERM)
+    wait_until("a leaving instance is not ready", lambda: not ready("entry-1"))
+    world.send("entry-1", packet(SYN, 5000, listener_port=8443))
+    assert world.arrival() is not None, "a leaving instance serves on"
+    assert world.processes["entry-1"].wait(timeout=6) == 0
+    assert time.time() - started < 6
+
+
+def main():
+    INSTANCES["entry-3"] = "127.82.1.6"
+    first = ["entry-1", "entry-2"]
+    with tempfile.TemporaryDirectory() as folder:
+        world = World(folder)
+        try:
+            world.start("platform", os.path.join(BUILD, "fakes/fake_platform"), "--listen",
+                        STORE)
+            time.sleep(0.2)
+            for name in first:
+                world.start_instance(name)
+            time.sleep(0.3)
+            assert not ready("entry-1"), "not ready before there is a configuration"
+            store({"op/config": configuration(1, 443),
+                   **{f"servers/{name}": entry(name) for name in HOSTS}})
+            wait_until("instances are ready", lambda: all(map(ready, first)))
+            del INSTANCES["entry-3"]
+            name, token = check_path(world)
+            check_changes(world, name, token)
+            INSTANCES["entry-3"] = "127.82.1.6"
+            check_outage(world)
+            check_stop(world)
+        finally:
+            world.stop_all()
+    print("the platform's path holds")
+
+
+if __name__ == "__main__":
+    main()
--- a/test/support/memory_store.hpp
+++ b/test/support/memory_store.hpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -38,7 +39,6 @@
     /// Runs once, after the next write of the configuration's key.
     std::function<void()> after_write;
     std::map<std::string, stored_value, std::less<>> values;
-    std::vector<platform_instance> listed;
 
     boost::leaf::result<stored_value> read(std::string_view key) override
     {
@@ -72,38 +72,6 @@
         return {};
     }
 
-    boost::leaf::result<std::optional<stored_value>>
-    read_newer(std::string_view key, revision, std::chrono::milliseconds) override
-    {
-        BOOST_LEAF_AUTO(value, read(key));
-        return std::optional(value);
-    }
-
-    boost::leaf::result<std::vector<stored_value>> list(std::string_view) override
-    {
-        return std::vector<stored_value>();
-    }
-
-    boost::leaf::result<std::vector<platform_instance>> instances() override
-    {
-        return listed;
-    }
-
-    boost::leaf::result<lease_id> grant_lease(std::chrono::milliseconds) override
-    {
-        return lease_id{1};
-    }
-
-    boost::leaf::result<void> renew_lease(lease_id) override
-    {
-        return {};
-    }
-
-    boost::leaf::result<void> revoke_lease(lease_id) override
-    {
-        return {};
-    }
-
 private:
     static void run_once(std::function<void()>& action)
     {
