Tell a few peers at a time; a reader in each data centre of a large fleet

Change: 6 beats at home and 4 afar a turn; news is told to all of a data centre by the instance that brought it there; fleets of over 16 peers have one reader a data centre; a silent peer counts 12 s for that and is forgotten after 30 s; the state is stale at 1.7 s; 300 ms between two readings of changes; loads of silent peers no longer stay in the sum (they did until the peer was forgotten).

--- a/include/kumquatpath/decision/entry.hpp
+++ b/include/kumquatpath/decision/entry.hpp
@@ -31,6 +31,7 @@
     std::optional<time_point> fresh_at;
     std::optional<time_point> leaving_since;
     time_point last_packet_at;
+    time_point next_upkeep;
 };
 
 /// What an entry instance is told of itself at its start.
--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -18,6 +18,9 @@
 constexpr duration home_beat_interval = std::chrono::milliseconds(100);
 /// How often other peers get a sign of life.
 constexpr duration far_beat_interval = std::chrono::milliseconds(400);
+/// Peers that are told each time; in a large fleet they take turns.
+constexpr std::size_t home_beats_a_turn = 6;
+constexpr std::size_t far_beats_a_turn = 4;
 constexpr duration seeds_interval = std::chrono::milliseconds(250);
 /// The longest datagram between a caller and this instance, without what goes before it.
 constexpr std::size_t most_lines_a_second = 100;
@@ -109,7 +112,7 @@
             ? take_listing(self_, message.state.targets, message.state.position, now)
             : take_changes(self_, message.state.targets, message.state.position, now);
     note_reading(self_, message.as_of, now);
-    note_state(message.is_whole ? "listing" : "changes", outcome, is_newer, now);
+    note_state(message.is_whole ? "listing" : "changes", outcome, is_newer, true, now);
 }
 
 void packet_duty::take(reading_failed&& message)
@@ -139,7 +142,10 @@
     }
     const state_outcome outcome =
         take_changes(self_, message.reply.targets, message.reply.position, now);
-    note_state("peer", outcome, is_newer, now);
+    const auto teller = self_.fleet.peers.find(message.by);
+    const bool is_from_afar = teller != self_.fleet.peers.end() &&
+                              teller->second.data_centre != self_.fleet.home;
+    note_state("peer", outcome, is_newer, is_from_afar, now);
 }
 
 void packet_duty::take(asking_ended&& /*message*/)
@@ -180,7 +186,7 @@
 }
 
 void packet_duty::note_state(std::string_view from, const state_outcome& outcome,
-                             bool is_configuration_new, time_point now)
+                             bool is_configuration_new, bool is_news_here, time_point now)
 {
     const auto position = self_.directory.position.value;
     if (is_configuration_new)
@@ -200,11 +206,11 @@
              {"age_ms", state_age(self_, now).count()}});
     }
     outputs_.set_ready(is_ready(self_));
-    if (outcome.targets_changed > 0 || is_configuration_new)
+    if (is_news_here && (outcome.targets_changed > 0 || is_configuration_new))
     {
-        next_home_beat_ = now;
-        next_far_beat_ = now;
-        send_beats(now);
+        send_to_some(true, self_.fleet.peers.size(), now);
+        send_to_some(false, far_beats_a_turn, now);
+        peers_.flush();
     }
 }
 
@@ -467,25 +473,34 @@
 
 void packet_duty::send_beats(time_point now)
 {
-    const bool is_home_due = now >= next_home_beat_;
-    const bool is_far_due = now >= next_far_beat_;
-    if (is_home_due)
+    if (now >= next_home_beat_)
     {
         next_home_beat_ = now + home_beat_interval;
+        send_to_some(true, home_beats_a_turn, now);
     }
-    if (is_far_due)
+    if (now >= next_far_beat_)
     {
         next_far_beat_ = now + far_beat_interval;
+        send_to_some(false, far_beats_a_turn, now);
     }
+    peers_.flush();
+}
+
+void packet_duty::send_to_some(bool is_home, std::size_t most, time_point now)
+{
+    std::vector<endpoint> candidates;
     for (const auto& [instance, peer] : self_.fleet.peers)
     {
-        const bool is_home = peer.data_centre == self_.fleet.home;
-        if (is_home ? is_home_due : is_far_due)
+        if ((peer.data_centre == self_.fleet.home) == is_home)
         {
-            send_beat(peer.address, is_home, now);
+            candidates.push_back(peer.address);
         }
     }
-    peers_.flush();
+    std::size_t& next = is_home ? next_home_peer_ : next_far_peer_;
+    for (std::size_t i = 0; i < std::min(most, candidates.size()); ++i)
+    {
+        send_beat(candidates[next++ % candidates.size()], is_home, now);
+    }
 }
 
 void packet_duty::send_beat(const endpoint& to, bool has_loads, time_point now)
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -70,11 +70,14 @@
     bool may_log(time_point now);
     void receive_beats();
     void hear(payload_view datagram, const endpoint& source, time_point now);
+    /// Logs what has changed and, if nobody of this data centre knew it before, tells all
+    /// of its instances.
     void note_state(std::string_view from, const state_outcome& outcome,
-                    bool is_configuration_new, time_point now);
+                    bool is_configuration_new, bool is_news_here, time_point now);
     void wait_for_tick();
     void tick_now(time_point now);
     void send_beats(time_point now);
+    void send_to_some(bool is_home, std::size_t most, time_point now);
     void send_beat(const endpoint& to, bool has_loads, time_point now);
     void find_seeds(time_point now);
     void follow_state(time_point now);
@@ -96,6 +99,9 @@
     /// The peer that was asked and has not answered.
     instance_id last_asked_;
     bool was_reading_ = false;
+    /// Where the next turn of beats begins among the peers.
+    std::size_t next_home_peer_ = 0;
+    std::size_t next_far_peer_ = 0;
     bool is_source_lost_ = false;
     time_point next_home_beat_;
     time_point next_far_beat_;
--- a/src/daemon/state_duty.cpp
+++ b/src/daemon/state_duty.cpp
@@ -17,7 +17,7 @@
 /// The longest that a reading waits for a change; an answer shows that the source lives.
 constexpr std::chrono::milliseconds longest_wait{1000};
 /// Changes that follow each other are read together.
-constexpr std::chrono::milliseconds pause_after_change{150};
+constexpr std::chrono::milliseconds pause_after_change{300};
 constexpr std::chrono::milliseconds least_backoff{100};
 constexpr std::chrono::milliseconds most_backoff{900};
 constexpr std::uint32_t most_doublings = 4;
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -11,6 +11,7 @@
 constexpr duration least_leave = std::chrono::milliseconds(1200);
 constexpr duration quiet_before_end = std::chrono::milliseconds(400);
 constexpr duration longest_leave = std::chrono::milliseconds(5000);
+constexpr duration upkeep_interval = std::chrono::milliseconds(500);
 constexpr std::size_t most_members_told = 8;
 constexpr std::size_t most_loads_told = 100;
 
@@ -209,11 +210,13 @@
     {
         note_freshness(self, *newest.as_of, now);
     }
-    if (!forget_silent(self.fleet, now).empty())
+    if (now >= self.next_upkeep)
     {
+        self.next_upkeep = now + upkeep_interval;
+        forget_silent(self.fleet, now);
         sum_loads(self, now);
+        forget_gone(self.directory, now);
     }
-    forget_gone(self.directory, now);
 }
 
 } // namespace kumquatpath
--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -9,11 +9,14 @@
 {
 
 constexpr duration live_time = std::chrono::milliseconds(1500);
-constexpr duration memory_of_silent = std::chrono::seconds(5);
-constexpr std::size_t appointed_readers = 2;
+constexpr duration memory_of_silent = std::chrono::seconds(30);
+constexpr std::size_t readers_of_small_fleet = 2;
+constexpr std::size_t most_peers_of_small_fleet = 16;
+/// In a large fleet peers afar take turns to be heard; a silent one counts this long.
+constexpr duration appointment_memory = std::chrono::seconds(12);
 /// The age of the state from which on an instance reads for itself, and the steps by
 /// which the instances of a data centre follow each other in that.
-constexpr duration stale_age = std::chrono::milliseconds(1400);
+constexpr duration stale_age = std::chrono::milliseconds(1700);
 constexpr duration stale_step = std::chrono::milliseconds(150);
 constexpr std::size_t most_stale_steps = 3;
 /// How long an instance goes on reading that began because of a stale state.
@@ -27,20 +30,32 @@
     return left.as_of && (!right.as_of || *left.as_of > *right.as_of);
 }
 
-/// Returns how many live peers come before this instance; with \p home, of that data
-/// centre only.
+/// Returns how many of the peers that count come before this instance; with
+/// \p is_home_only, of its data centre.
 std::size_t rank_of_self(const fleet_peers& fleet, bool is_home_only, time_point now)
 {
     std::size_t rank = 0;
     for (const auto& [instance, peer] : fleet.peers)
     {
-        const bool counts = is_live(peer, now) && !peer.is_leaving &&
+        const bool counts = now < peer.heard_at + appointment_memory &&
+                            !peer.is_leaving &&
                             (!is_home_only || peer.data_centre == fleet.home);
         rank += counts && instance < fleet.self ? 1U : 0U;
     }
     return rank;
 }
 
+/// A small fleet has two readers, a larger one a reader in each data centre, so that the
+/// state comes to each over few steps.
+bool is_appointed(const fleet_peers& fleet, time_point now)
+{
+    if (fleet.peers.size() > most_peers_of_small_fleet)
+    {
+        return rank_of_self(fleet, true, now) == 0;
+    }
+    return rank_of_self(fleet, false, now) < readers_of_small_fleet;
+}
+
 /// Returns how fresh the state is by others' reading.
 state_freshness told_freshness(const fleet_peers& fleet, state_revision position)
 {
@@ -183,7 +198,7 @@
     {
         return now >= fleet.started_at + patience_at_start;
     }
-    if (rank_of_self(fleet, false, now) < appointed_readers)
+    if (is_appointed(fleet, now))
     {
         return true;
     }
