Step in as a reader one after the other; pause longer in a large fleet

Change: steps up to the sixth rank, terms of 3 s, a reading after a stale state is told to the data centre at once, 700 ms between readings in a fleet of over 16; the log no longer tells an age where a target has never answered.

--- a/include/kumquatpath/decision/fleet_peers.hpp
+++ b/include/kumquatpath/decision/fleet_peers.hpp
@@ -97,6 +97,9 @@
 std::vector<fleet_member> members_to_tell(const fleet_peers& fleet, std::size_t most,
                                           std::uint64_t turn, time_point now);
 
+/// Returns how long a reader waits after it has read a change.
+std::chrono::milliseconds reading_pause(const fleet_peers& fleet);
+
 // Commands.
 
 /// Takes \p beat of \p sender.
--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -18,6 +18,8 @@
 constexpr duration home_beat_interval = std::chrono::milliseconds(100);
 /// How often other peers get a sign of life.
 constexpr duration far_beat_interval = std::chrono::milliseconds(400);
+/// A reading after a state of this age is told at once, so that others need not read.
+constexpr std::chrono::milliseconds stale_for_peers{1300};
 /// Peers that are told each time; in a large fleet they take turns.
 constexpr std::size_t home_beats_a_turn = 6;
 constexpr std::size_t far_beats_a_turn = 4;
@@ -105,6 +107,7 @@
         log(log_level::info, "state_source_regained",
             {{"position", message.state.position.value}});
     }
+    const bool was_stale = state_age(self_, now) > stale_for_peers;
     const bool is_newer = message.state.configuration &&
                           take_configuration(self_, *message.state.configuration);
     const state_outcome outcome =
@@ -112,6 +115,10 @@
             ? take_listing(self_, message.state.targets, message.state.position, now)
             : take_changes(self_, message.state.targets, message.state.position, now);
     note_reading(self_, message.as_of, now);
+    if (was_stale)
+    {
+        send_to_some(true, self_.fleet.peers.size(), now);
+    }
     note_state(message.is_whole ? "listing" : "changes", outcome, is_newer, true, now);
 }
 
@@ -467,7 +474,9 @@
             {{"state_age_ms", state_age(self_, now).count()},
              {"peers", self_.fleet.peers.size()}});
     }
-    outputs_.read({.is_wanted = is_reading, .position = self_.directory.position});
+    outputs_.read({.is_wanted = is_reading,
+                   .position = self_.directory.position,
+                   .pause = reading_pause(self_.fleet)});
     follow_state(now);
 }
 
@@ -578,12 +587,18 @@
             continue;
         }
         were_suspect_[i] = is_now;
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
-            now - evidence[i].answered_opening);
+        boost::json::object fields = {
+            {"target", to_string(self_.directory.targets[i].record.address)},
+            {"overdue", evidence[i].overdue}};
+        if (evidence[i].answered_opening != time_point())
+        {
+            fields["last_answer_age_ms"] =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - evidence[i].answered_opening)
+                    .count();
+        }
         log(log_level::warning, is_now ? "target_suspect" : "target_trusted",
-            {{"target", to_string(self_.directory.targets[i].record.address)},
-             {"overdue", evidence[i].overdue},
-             {"last_answer_age_ms", age.count()}});
+            std::move(fields));
     }
 }
 
--- a/src/daemon/state_duty.cpp
+++ b/src/daemon/state_duty.cpp
@@ -16,8 +16,6 @@
 
 /// The longest that a reading waits for a change; an answer shows that the source lives.
 constexpr std::chrono::milliseconds longest_wait{1000};
-/// Changes that follow each other are read together.
-constexpr std::chrono::milliseconds pause_after_change{300};
 constexpr std::chrono::milliseconds least_backoff{100};
 constexpr std::chrono::milliseconds most_backoff{900};
 constexpr std::uint32_t most_doublings = 4;
@@ -65,6 +63,7 @@
 {
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [&] { return is_stopped_ || order_.is_wanted; });
+    pause_after_change_ = order_.pause;
     if (order_.position > position_)
     {
         position_ = order_.position;
@@ -100,7 +99,7 @@
         state_was_read{.state = std::move(state), .is_whole = is_whole, .as_of = as_of});
     if (has_changes && !is_whole)
     {
-        pause(pause_after_change);
+        pause(pause_after_change_);
     }
 }
 
--- a/src/daemon/state_duty.hpp
+++ b/src/daemon/state_duty.hpp
@@ -19,6 +19,8 @@
     bool is_wanted = false;
     /// The changes up to this one are known.
     state_revision position;
+    /// The pause after a reading that brought changes.
+    std::chrono::milliseconds pause{0};
 
     friend bool operator==(const reading_order&, const reading_order&) = default;
 };
@@ -53,6 +55,7 @@
     reading_order order_;
     bool is_stopped_ = false;
     state_revision position_;
+    std::chrono::milliseconds pause_after_change_{0};
     bool must_read_all_ = true;
     std::uint32_t failures_ = 0;
     std::uint32_t jitter_;
--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -18,9 +18,12 @@
 /// which the instances of a data centre follow each other in that.
 constexpr duration stale_age = std::chrono::milliseconds(1700);
 constexpr duration stale_step = std::chrono::milliseconds(150);
-constexpr std::size_t most_stale_steps = 3;
+constexpr std::size_t most_stale_steps = 6;
+/// Changes that follow each other are read together; a large fleet sees more of them.
+constexpr std::chrono::milliseconds pause_of_small_fleet{300};
+constexpr std::chrono::milliseconds pause_of_large_fleet{700};
 /// How long an instance goes on reading that began because of a stale state.
-constexpr duration reading_term = std::chrono::seconds(5);
+constexpr duration reading_term = std::chrono::seconds(3);
 /// How long an instance without any state waits for a peer to have one.
 constexpr duration patience_at_start = std::chrono::milliseconds(0);
 constexpr std::size_t most_strangers = 64;
@@ -45,11 +48,16 @@
     return rank;
 }
 
+bool is_large(const fleet_peers& fleet)
+{
+    return fleet.peers.size() > most_peers_of_small_fleet;
+}
+
 /// A small fleet has two readers, a larger one a reader in each data centre, so that the
 /// state comes to each over few steps.
 bool is_appointed(const fleet_peers& fleet, time_point now)
 {
-    if (fleet.peers.size() > most_peers_of_small_fleet)
+    if (is_large(fleet))
     {
         return rank_of_self(fleet, true, now) == 0;
     }
@@ -192,6 +200,11 @@
     return forgotten;
 }
 
+std::chrono::milliseconds reading_pause(const fleet_peers& fleet)
+{
+    return is_large(fleet) ? pause_of_large_fleet : pause_of_small_fleet;
+}
+
 bool decide_reading(fleet_peers& fleet, state_revision position, time_point now)
 {
     if (position.value == 0)
