Model a deployment in virtual time over the product's own decisions

Change: bench_fleet plays callers, a hashing fabric, instances and targets under six troubles, with two baselines (random, hashed without state); hot_path_benchmark times a flow, a packet, a beat and a newcomer. The latter found a search for a free place that grew with the square: telling 5,400 targets took 10.5 ms.

--- /dev/null
+++ b/bench/event_queue.hpp
@@ -0,0 +1,72 @@
+#ifndef KUMQUATPATH_BENCH_EVENT_QUEUE_HPP
+#define KUMQUATPATH_BENCH_EVENT_QUEUE_HPP
+
+/// \file
+/// Virtual time: events in the order of their times.
+
+#include <kumquatpath/model/time.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+namespace kumquatpath::bench
+{
+
+/// Runs events in order; events of one time run in the order in which they were added.
+class event_queue
+{
+public:
+    /// Has \p action run at \p when.
+    void at(time_point when, std::function<void()> action)
+    {
+        events_.push({when, next_++, std::move(action)});
+    }
+
+    /// Has \p action run \p delay from now.
+    void after(duration delay, std::function<void()> action)
+    {
+        at(now_ + delay, std::move(action));
+    }
+
+    time_point now() const
+    {
+        return now_;
+    }
+
+    /// Runs all events up to \p end.
+    void run_until(time_point end)
+    {
+        while (!events_.empty() && events_.top().when <= end)
+        {
+            event next = events_.top();
+            events_.pop();
+            now_ = next.when;
+            next.action();
+        }
+        now_ = end;
+    }
+
+private:
+    struct event
+    {
+        time_point when;
+        std::uint64_t order = 0;
+        std::function<void()> action;
+
+        bool operator<(const event& other) const
+        {
+            return std::pair(when, order) > std::pair(other.when, other.order);
+        }
+    };
+
+    std::priority_queue<event> events_;
+    time_point now_;
+    std::uint64_t next_ = 0;
+};
+
+} // namespace kumquatpath::bench
+
+#endif
--- /dev/null
+++ b/bench/fleet_model.cpp
@@ -0,0 +1,478 @@
+#include "fleet_model.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <set>
+
+namespace kumquatpath::bench
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr duration caller_link = milliseconds(3);
+constexpr duration target_link = std::chrono::microseconds(500);
+constexpr duration window_length = std::chrono::seconds(2);
+constexpr duration opening_lifetime = milliseconds(1400);
+constexpr duration copy_ages[] = {milliseconds(0), milliseconds(200), milliseconds(600)};
+constexpr duration tick_interval = milliseconds(50);
+constexpr duration load_interval = milliseconds(100);
+constexpr milliseconds longest_restart{400};
+constexpr endpoint listener_address{.address = 0xc6120001, .port = 443};
+constexpr double work_spread = 0.5;
+
+const service_id served = id_of<service_id>("modelled");
+
+data_centre_id centre_id(std::uint32_t centre)
+{
+    return {centre + 1};
+}
+
+duration from_ms(double time)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(time));
+}
+
+} // namespace
+
+struct fleet_model::request
+{
+    std::uint32_t centre = 0;
+    time_point begun;
+    std::uint32_t attempts = 0;
+    /// The flow of the present attempt; packets of earlier ones count no more.
+    std::uint64_t flow = 0;
+    bool is_open = false;
+    bool is_over = false;
+    flow_token token;
+};
+
+fleet_model::fleet_model(const model_options& options)
+    : options_(options), random_(options.seed)
+{
+    table_.routes.emplace(pack(listener_address),
+                          route{.name = "modelled",
+                                .services = {{.service = served}},
+                                .latency_goal = std::chrono::duration_cast<milliseconds>(
+                                    options.latency_goal)});
+    for (std::uint32_t centre = 0; centre < options.data_centres; ++centre)
+    {
+        for (std::uint32_t i = 0; i < options.targets_each; ++i)
+        {
+            targets_.push_back({.centre = centre});
+        }
+        for (std::uint32_t i = 0; i < options.instances_each; ++i)
+        {
+            instances_.push_back({.centre = centre});
+        }
+    }
+    for (std::uint32_t number = 0; number < instances_.size(); ++number)
+    {
+        start_instance(number);
+    }
+}
+
+void fleet_model::start_instance(std::uint32_t number)
+{
+    instance& each = instances_[number];
+    each.is_up = true;
+    each.waiting = {};
+    each.waiting_for.clear();
+    each.state = make_entry({.self = {number + 1},
+                             .home = centre_id(each.centre),
+                             .incarnation = random_(),
+                             .started_at = events_.now()});
+    for (std::uint32_t i = 0; i < targets_.size(); ++i)
+    {
+        const target_record record{.key = {i + 1},
+                                   .service = served,
+                                   .address = {.address = i + 1, .port = 80},
+                                   .data_centre = centre_id(targets_[i].centre),
+                                   .slots = options_.slots};
+        apply_change(each.state.directory,
+                     {.key = record.key, .revision = {1}, .record = record},
+                     events_.now());
+    }
+}
+
+void fleet_model::play(duration length)
+{
+    ends_ = time_point(length);
+    windows_.resize(static_cast<std::size_t>(length / window_length) + 1);
+    for (std::uint32_t centre = 0; centre < options_.data_centres; ++centre)
+    {
+        arrive_regularly(centre);
+    }
+    tick_regularly();
+    share_loads_regularly();
+    events_.run_until(ends_ + options_.deadline);
+}
+
+void fleet_model::power_off_all(duration from, duration length)
+{
+    events_.at(time_point(from),
+               [this]
+               {
+                   for (instance& each : instances_)
+                   {
+                       each.is_up = false;
+                   }
+               });
+    for (std::uint32_t number = 0; number < instances_.size(); ++number)
+    {
+        const milliseconds restart(random_() %
+                                   static_cast<std::uint64_t>(longest_restart.count()));
+        events_.at(time_point(from + length + restart),
+                   [this, number] { start_instance(number); });
+    }
+}
+
+void fleet_model::cut_first(duration from, duration length)
+{
+    events_.at(time_point(from), [this, length] { cut_until_ = events_.now() + length; });
+}
+
+void fleet_model::crash_targets(duration from)
+{
+    events_.at(time_point(from),
+               [this]
+               {
+                   for (std::size_t i = 0; i < targets_.size();
+                        i += options_.targets_each)
+                   {
+                       targets_[i].is_dead = true;
+                       targets_[i].queue.clear();
+                   }
+               });
+}
+
+void fleet_model::flood(duration from, duration length, double factor)
+{
+    events_.at(time_point(from), [this, factor] { factor_ = factor; });
+    events_.at(time_point(from + length), [this] { factor_ = 1; });
+}
+
+const std::vector<window_counts>& fleet_model::windows() const
+{
+    return windows_;
+}
+
+double fleet_model::imbalance() const
+{
+    std::uint64_t sum = 0;
+    std::uint64_t most = 0;
+    for (const target& each : targets_)
+    {
+        sum += each.ran;
+        most = std::max(most, each.ran);
+    }
+    return sum == 0 ? 0
+                    : static_cast<double>(most) * static_cast<double>(targets_.size()) /
+                          static_cast<double>(sum);
+}
+
+window_counts& fleet_model::window_of(const request& held)
+{
+    return windows_[static_cast<std::size_t>(held.begun.time_since_epoch() /
+                                             window_length)];
+}
+
+void fleet_model::arrive_regularly(std::uint32_t centre)
+{
+    const double gap_s =
+        std::exponential_distribution<double>(options_.rate_each * factor_)(random_);
+    events_.after(from_ms(1000 * gap_s),
+                  [this, centre]
+                  {
+                      if (events_.now() >= ends_)
+                      {
+                          return;
+                      }
+                      const auto held = std::make_shared<request>(
+                          request{.centre = centre, .begun = events_.now()});
+                      ++window_of(*held).begun;
+                      start_attempt(held);
+                      arrive_regularly(centre);
+                  });
+    // The request fails at its deadline unless it was answered; see answered().
+}
+
+void fleet_model::start_attempt(const request_at& held)
+{
+    const std::uint64_t flow = next_flow_++;
+    held->flow = flow;
+    held->is_open = false;
+    held->token = {};
+    ++held->attempts;
+    for (const duration age : copy_ages)
+    {
+        events_.after(age,
+                      [this, held, flow, age]
+                      {
+                          if (held->flow == flow && !held->is_open && !held->is_over)
+                          {
+                              send(held,
+                                   {.flow = {flow}, .is_opening = true, .age = age});
+                          }
+                      });
+    }
+    events_.after(opening_lifetime,
+                  [this, held, flow]
+                  {
+                      if (!held->is_open)
+                      {
+                          attempt_failed(held, flow);
+                      }
+                  });
+    if (held->attempts == 1)
+    {
+        events_.after(options_.deadline,
+                      [this, held]
+                      {
+                          if (!held->is_over)
+                          {
+                              held->is_over = true;
+                              ++window_of(*held).failed;
+                          }
+                      });
+    }
+}
+
+void fleet_model::attempt_failed(const request_at& held, std::uint64_t flow)
+{
+    if (held->flow == flow && !held->is_over && held->attempts <= options_.retries)
+    {
+        start_attempt(held);
+    }
+}
+
+void fleet_model::send(const request_at& held, flow_packet packet)
+{
+    packet.listener = listener_address;
+    packet.caller = {.address = 1 + held->centre,
+                     .port = static_cast<std::uint16_t>(packet.flow.value)};
+    events_.after(
+        caller_link,
+        [this, held, packet]
+        {
+            std::vector<std::uint32_t> up;
+            for (std::uint32_t number = 0; number < instances_.size(); ++number)
+            {
+                if (instances_[number].centre == held->centre && instances_[number].is_up)
+                {
+                    up.push_back(number);
+                }
+            }
+            if (!up.empty())
+            {
+                receive(up[mix(packet.flow.value, 7) % up.size()], held, packet);
+            }
+        });
+}
+
+std::uint32_t fleet_model::choose(const request_at& held, const flow_packet& packet)
+{
+    const std::uint64_t number = options_.policy == placement_policy::hashed
+                                     ? mix(packet.flow.value, 11)
+                                     : random_();
+    static_cast<void>(held);
+    return static_cast<std::uint32_t>(number % targets_.size());
+}
+
+void fleet_model::receive(std::uint32_t number, const request_at& held,
+                          const flow_packet& packet)
+{
+    instance& by = instances_[number];
+    if (packet.is_opening && options_.policy != placement_policy::steering)
+    {
+        pass_on(number, choose(held, packet), held, packet);
+        return;
+    }
+    const steering_decision decision =
+        steer(by.state.steering, table_, by.state.directory, packet, events_.now());
+    if (decision.verdict == steering_verdict::wait)
+    {
+        add_waiting(by.waiting,
+                    {.packet = packet,
+                     .begun = events_.now() - packet.age,
+                     .in_time_until = events_.now() - packet.age + options_.latency_goal -
+                                      from_ms(options_.work_ms)});
+        by.waiting_for[packet.flow.value] = held;
+        return;
+    }
+    if (decision.verdict == steering_verdict::forward)
+    {
+        pass_on(number, decision.target, held, packet);
+    }
+    review_flows(by.state.steering, by.state.directory, events_.now());
+    place_waiting(number);
+}
+
+void fleet_model::place_waiting(std::uint32_t number)
+{
+    instance& by = instances_[number];
+    for (const waiting_opening& each : take_expired(by.waiting, events_.now()))
+    {
+        const request_at held = by.waiting_for[each.packet.flow.value];
+        const std::uint64_t flow = each.packet.flow.value;
+        events_.after(caller_link, [this, held, flow] { attempt_failed(held, flow); });
+        by.waiting_for.erase(flow);
+    }
+    order_waiting(by.waiting, events_.now());
+    while (!by.waiting.openings.empty())
+    {
+        const flow_packet packet = by.waiting.openings.front().packet;
+        const steering_decision decision =
+            steer(by.state.steering, table_, by.state.directory, packet, events_.now());
+        if (decision.verdict != steering_verdict::forward)
+        {
+            return;
+        }
+        pass_on(number, decision.target, by.waiting_for[packet.flow.value], packet);
+        by.waiting_for.erase(packet.flow.value);
+        by.waiting.openings.erase(by.waiting.openings.begin());
+    }
+}
+
+void fleet_model::pass_on(std::uint32_t number, std::uint32_t to, const request_at& held,
+                          const flow_packet& packet)
+{
+    const std::uint32_t from_centre = instances_[number].centre;
+    const std::uint32_t to_centre = targets_[to].centre;
+    const bool is_cut = events_.now() < cut_until_ && from_centre != to_centre &&
+                        (from_centre == 0 || to_centre == 0);
+    if (is_cut || targets_[to].is_dead)
+    {
+        return;
+    }
+    events_.after(target_link,
+                  [this, to, held, packet]
+                  {
+                      if (packet.is_opening)
+                      {
+                          open_at(to, held, packet.flow.value);
+                      }
+                      else if (packet.has_payload)
+                      {
+                          work_at(to, held, packet.flow.value);
+                      }
+                  });
+}
+
+void fleet_model::open_at(std::uint32_t to, const request_at& held, std::uint64_t flow)
+{
+    events_.after(caller_link, [this, to, held, flow] { opened(to, held, flow); });
+}
+
+void fleet_model::opened(std::uint32_t by, const request_at& held, std::uint64_t flow)
+{
+    if (held->flow != flow || held->is_open || held->is_over)
+    {
+        return;
+    }
+    held->is_open = true;
+    held->token = token_of({by + 1});
+    send(held, {.flow = {flow}, .token = held->token, .has_payload = true});
+}
+
+void fleet_model::work_at(std::uint32_t to, const request_at& held, std::uint64_t flow)
+{
+    target& at = targets_[to];
+    if (at.is_dead)
+    {
+        return;
+    }
+    if (at.queue.size() >= options_.queue)
+    {
+        events_.after(caller_link, [this, held, flow] { attempt_failed(held, flow); });
+        send(held, {.flow = {flow}, .token = held->token, .is_end = true});
+        return;
+    }
+    at.queue.emplace_back(held, flow);
+    start_work(to);
+}
+
+void fleet_model::start_work(std::uint32_t at)
+{
+    target& by = targets_[at];
+    while (by.busy < options_.slots && !by.queue.empty())
+    {
+        const auto [held, flow] = by.queue.front();
+        by.queue.pop_front();
+        ++by.busy;
+        ++by.ran;
+        const double log_mean =
+            std::log(options_.work_ms) - work_spread * work_spread / 2;
+        const double time =
+            std::lognormal_distribution<double>(log_mean, work_spread)(random_);
+        events_.after(from_ms(time),
+                      [this, at, held = held, flow = flow]
+                      {
+                          --targets_[at].busy;
+                          if (!targets_[at].is_dead)
+                          {
+                              events_.after(caller_link,
+                                            [this, held, flow] { answered(held, flow); });
+                              start_work(at);
+                          }
+                      });
+    }
+}
+
+void fleet_model::answered(const request_at& held, std::uint64_t flow)
+{
+    send(held, {.flow = {flow}, .token = held->token, .is_end = true});
+    if (held->is_over || held->flow != flow)
+    {
+        return;
+    }
+    held->is_over = true;
+    const bool is_in_time = events_.now() <= held->begun + options_.latency_goal;
+    ++(is_in_time ? window_of(*held).in_time : window_of(*held).late);
+}
+
+void fleet_model::tick_regularly()
+{
+    for (std::uint32_t number = 0; number < instances_.size(); ++number)
+    {
+        if (instances_[number].is_up)
+        {
+            tick(instances_[number].state, events_.now());
+            place_waiting(number);
+        }
+    }
+    if (events_.now() < ends_ + options_.deadline)
+    {
+        events_.after(tick_interval, [this] { tick_regularly(); });
+    }
+}
+
+void fleet_model::share_loads_regularly()
+{
+    for (const instance& from : instances_)
+    {
+        for (instance& to : instances_)
+        {
+            const bool is_told =
+                from.is_up && to.is_up && &from != &to && from.centre == to.centre;
+            if (is_told)
+            {
+                const fleet_beat beat = make_beat(from.state, true, events_.now());
+                const auto sequence = static_cast<std::uint64_t>(
+                    events_.now().time_since_epoch().count() + 1);
+                take_beat(to.state,
+                          {.sender = from.state.fleet.self, .sequence = sequence}, beat,
+                          events_.now());
+            }
+        }
+    }
+    if (events_.now() < ends_ + options_.deadline)
+    {
+        events_.after(load_interval, [this] { share_loads_regularly(); });
+    }
+}
+
+} // namespace kumquatpath::bench
--- /dev/null
+++ b/bench/hot_path_benchmark.cpp
@@ -0,0 +1,128 @@
+/// \file
+/// What one packet costs, and what the shared state costs, at growing sizes.
+
+#include <kumquatpath/decision/entry.hpp>
+#include <kumquatpath/edge/fleet_codec.hpp>
+
+#include <benchmark/benchmark.h>
+#include <platform/packet_header.hpp>
+
+#include <array>
+
+namespace
+{
+
+using namespace kumquatpath;
+
+const service_id served = id_of<service_id>("served");
+constexpr endpoint listener_address{.address = 0xc6120001, .port = 443};
+
+entry entry_with(std::size_t targets)
+{
+    entry self = make_entry({.self = {1}, .home = {1}});
+    for (std::size_t i = 0; i < targets; ++i)
+    {
+        const target_record record{.key = {i + 1},
+                                   .service = served,
+                                   .address = {.address = 1, .port = 80},
+                                   .data_centre = {static_cast<std::uint32_t>(i % 3 + 1)},
+                                   .slots = 3};
+        apply_change(self.directory,
+                     {.key = {i + 1}, .revision = {i + 1}, .record = record},
+                     time_point());
+    }
+    self.directory.position = {targets};
+    routing_table table;
+    table.routes.emplace(pack(listener_address),
+                         route{.name = "a", .services = {{.service = served}}});
+    self.configuration = {.revision = {1},
+                          .table = std::make_shared<const routing_table>(table)};
+    return self;
+}
+
+/// An opening, its next packet and its end, as one flow has them.
+void one_flow(benchmark::State& state)
+{
+    entry self = entry_with(static_cast<std::size_t>(state.range(0)));
+    std::uint64_t flow = 0;
+    time_point now;
+    for (auto _ : state)
+    {
+        ++flow;
+        now += std::chrono::microseconds(100);
+        flow_packet packet{
+            .flow = {mix(flow, 1)}, .listener = listener_address, .is_opening = true};
+        const auto placed =
+            steer(self.steering, *self.configuration.table, self.directory, packet, now);
+        packet.is_opening = false;
+        packet.token = placed.token;
+        steer(self.steering, *self.configuration.table, self.directory, packet, now);
+        packet.is_end = true;
+        steer(self.steering, *self.configuration.table, self.directory, packet, now);
+        if (flow % 64 == 0)
+        {
+            review_flows(self.steering, self.directory, now);
+        }
+    }
+}
+BENCHMARK(one_flow)->Arg(14)->Arg(120)->Arg(1000);
+
+void read_and_write_a_packet(benchmark::State& state)
+{
+    const platform::platform_packet_format format(8172);
+    std::array<std::byte, 532> datagram{};
+    datagram[28] = std::byte{1};
+    datagram[30] = std::byte{500 >> 8};
+    datagram[31] = std::byte{500 & 0xff};
+    std::array<std::byte, longest_forward> out{};
+    const target_record target{.key = {1}};
+    for (auto _ : state)
+    {
+        const received_packet packet{.datagram = datagram};
+        benchmark::DoNotOptimize(format.read(packet));
+        benchmark::DoNotOptimize(format.write_forward(packet, target, {1}, out));
+    }
+}
+BENCHMARK(read_and_write_a_packet);
+
+void encode_and_decode_a_beat(benchmark::State& state)
+{
+    const peer_key key{1};
+    fleet_beat beat;
+    for (int i = 0; i < state.range(0); ++i)
+    {
+        beat.loads.push_back({.token = {1}, .busy = 1});
+    }
+    std::size_t bytes = 0;
+    for (auto _ : state)
+    {
+        const auto message = encode_fleet({.sender = {1}, .body = beat}, key);
+        bytes = message.size();
+        benchmark::DoNotOptimize(decode_fleet(message, key, longest_fleet_frame));
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(encode_and_decode_a_beat)->Arg(0)->Arg(14)->Arg(100);
+
+void tell_a_newcomer_all(benchmark::State& state)
+{
+    const peer_key key{1};
+    const entry self = entry_with(static_cast<std::size_t>(state.range(0)));
+    std::size_t bytes = 0;
+    for (auto _ : state)
+    {
+        const auto message =
+            encode_fleet({.sender = {1}, .body = reply_to(self, {})}, key);
+        bytes = message.size();
+        const auto read = decode_fleet(message, key, longest_fleet_frame);
+        entry newcomer = make_entry({.self = {2}});
+        const auto& reply = std::get<state_reply>(read->body);
+        take_changes(newcomer, reply.targets, reply.position, time_point());
+    }
+    state.counters["bytes"] = static_cast<double>(bytes);
+}
+BENCHMARK(tell_a_newcomer_all)->Arg(18)->Arg(150)->Arg(5400);
+
+} // namespace
+
+BENCHMARK_MAIN();
--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -65,6 +65,7 @@
 struct target_directory
 {
     std::vector<known_target> targets;
+    std::vector<target_index> free_places;
     boost::unordered_flat_map<std::uint64_t, target_index> by_key;
     boost::unordered_flat_map<std::uint32_t, target_index> by_token;
     boost::unordered_flat_map<service_id, std::vector<target_index>,
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -7,17 +7,16 @@
 namespace
 {
 
-target_index free_place(target_directory& directory)
+target_index take_place(target_directory& directory)
 {
-    const auto found =
-        std::find_if(directory.targets.begin(), directory.targets.end(),
-                     [](const known_target& each) { return !each.is_used; });
-    if (found != directory.targets.end())
+    if (directory.free_places.empty())
     {
-        return static_cast<target_index>(found - directory.targets.begin());
+        directory.targets.emplace_back();
+        return static_cast<target_index>(directory.targets.size() - 1);
     }
-    directory.targets.emplace_back();
-    return static_cast<target_index>(directory.targets.size() - 1);
+    const target_index place = directory.free_places.back();
+    directory.free_places.pop_back();
+    return place;
 }
 
 void unlist(target_directory& directory, service_id service, target_index place)
@@ -79,7 +78,7 @@
 
 target_index add(target_directory& directory, const target_record& record)
 {
-    const target_index place = free_place(directory);
+    const target_index place = take_place(directory);
     directory.targets[place] =
         known_target{.record = record, .token = token_of(record.key), .is_used = true};
     directory.by_key[record.key.value] = place;
@@ -241,6 +240,7 @@
             directory.by_token.erase(held);
         }
         each = known_target{};
+        directory.free_places.push_back(place);
     }
 }
 
