--- a/fakes/caller.cpp
+++ b/fakes/caller.cpp
@@ -85,11 +85,13 @@
     send_request(flow);
 }
 
-void caller::take_opening(caller_flow& flow)
+void caller::take_opening(caller_flow& flow, flow_token token)
 {
+    // A second target may answer a copy of the opening; the flow is at the first one.
     if (!flow.is_open)
     {
         flow.is_open = true;
+        flow.token = token;
         start_request(flow);
     }
 }
@@ -196,13 +198,13 @@
         end(flow);
         return;
     }
-    flow.token = header.token;
     if (header.kind == packet_kind::answer && header.request.value == 0)
     {
-        take_opening(flow);
+        take_opening(flow, header.token);
         return;
     }
-    if ((flow.is_open && !flow.waiting) || header.request != flow.request)
+    const bool is_awaited = flow.is_open ? flow.waiting : header.request.value == 0;
+    if (!is_awaited || header.request != flow.request)
     {
         ++counts_.stray_answers;
         return;
--- a/fakes/caller.hpp
+++ b/fakes/caller.hpp
@@ -67,7 +67,7 @@
 struct caller_flow
 {
     flow_id id;
-    /// What the target sent last; 0 until the flow is open.
+    /// What the first target sent that answered the opening; 0 until then.
     flow_token token;
     bool is_open = false;
     /// The number of the present request, from 1; 0 while the flow is being opened.
@@ -93,7 +93,7 @@
 private:
     void open_regularly();
     void open_flow();
-    void take_opening(caller_flow& flow);
+    void take_opening(caller_flow& flow, flow_token token);
     void start_request(caller_flow& flow);
     void send_request(caller_flow& flow);
     void retry(caller_flow& flow);
--- a/include/kumquatpath/model/packet.hpp
+++ b/include/kumquatpath/model/packet.hpp
@@ -4,9 +4,10 @@
 /// \file
 /// What a packet of kumquatpath's own form says, free of any encoding.
 ///
-/// A caller opens a flow with a packet that carries no work and sends its requests once
-/// the target has answered. Both ends send back the token that they last received, so
-/// that every packet of an open flow reaches the same target through any instance.
+/// A caller opens a flow with a packet that carries no work and sends its requests once a
+/// target has answered. It keeps the token of the first answer for the whole flow, and
+/// the target sends back what it receives, so that every packet of an open flow reaches
+/// the same target through any instance.
 
 #include <kumquatpath/model/endpoint.hpp>
 #include <kumquatpath/model/ids.hpp>
--- /dev/null
+++ b/scripts/deployment.py
@@ -0,0 +1,218 @@
+"""Processes of one deployment on loopback: platform, fabric, instances, targets, callers."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.path.join(ROOT, "build")
+PEER_KEY = "5a" * 32
+CALLER_GRACE_SECONDS = 20
+DATA_PORT = 7001
+READY_PORT = 7800
+PEER_PORT = 7900
+OPERATORS_PORT = 7901
+CLASSES = {
+    "look-up": {"id": 1, "priority": 0, "repeatable": True, "deadline_ms": 2000},
+    "submission": {"id": 2, "priority": 1, "repeatable": False, "deadline_ms": 4000},
+    "download": {"id": 3, "priority": 2, "repeatable": True, "deadline_ms": 4000},
+}
+
+
+class Deployment:
+    """The processes of one deployment, and the addresses that they use."""
+
+    def __init__(self, name, plan, seconds, folder):
+        self.name = name
+        self.plan = plan
+        self.seconds = seconds
+        self.folder = folder
+        self.processes = {}
+        network = plan["network"]
+        self.platform = f"127.{network}.0.1:8500"
+        self.fabric_control = f"127.{network}.0.2:8600"
+        self.listeners = {service: f"127.{network}.0.3:{7001 + i}"
+                          for i, service in enumerate(plan["services"])}
+        self.instances = {}
+        for i, centre in enumerate(plan["data_centres"]):
+            count = plan.get("instances_each", 2 if i < 2 else 1)
+            for k in range(count):
+                self.instances[f"{centre}-{k + 1}"] = (centre, f"127.{network}.{i + 1}.{k + 1}")
+        self.targets = {}
+        for j, (service, count) in enumerate(plan["services"].items()):
+            for k in range(count):
+                centre = plan["data_centres"][k % len(plan["data_centres"])]
+                self.targets[f"{service}-{k + 1}"] = (
+                    service, centre, f"127.{network}.{100 + j}.{k + 1}")
+
+    def start(self, name, program, *arguments):
+        log = open(os.path.join(self.folder, f"{self.name}-{name}.log"), "a")
+        self.processes[name] = subprocess.Popen(
+            [os.path.join(BUILD, program), *arguments], stdout=subprocess.PIPE
+            if program.endswith("fake_caller") else log, stderr=log, text=True)
+
+    def client(self, *arguments, check=True):
+        done = subprocess.run(
+            [os.path.join(BUILD, "src/client/kumquatpath"), "--platform", self.platform,
+             *arguments], check=False, text=True, capture_output=True,
+            env={**os.environ, "KUMQUATPATH_INSTANCE":
+                 f"{next(iter(self.instances.values()))[1]}:{OPERATORS_PORT}"})
+        if check and done.returncode != 0:
+            sys.exit(f"kumquatpath {' '.join(arguments)} ended with {done.returncode}:\n"
+                     f"{done.stdout}{done.stderr}")
+        return done
+
+    def configuration(self):
+        services = self.plan["services"]
+        pools = {f"{service}-hosts": {"targets": {}} for service in services}
+        for name, (service, centre, address) in self.targets.items():
+            pools[f"{service}-hosts"]["targets"][name] = {
+                "address": f"{address}:9000", "data_centre": centre}
+        return {
+            "format": 1,
+            "data_centres": {each: {"region": self.name}
+                             for each in self.plan["data_centres"]},
+            "pools": pools,
+            "services": {each: {"pool": f"{each}-hosts"} for each in services},
+            "listeners": {f"{service}-in": {"address": address, "kind": "datagram",
+                                            "service": service}
+                          for service, address in self.listeners.items()},
+            "tenants": {self.name: {"id": 1}},
+            "classes": CLASSES,
+        }
+
+    def start_all(self):
+        self.start("platform", "fakes/fake_platform", "--listen", self.platform)
+        for name, (service, centre, address) in self.targets.items():
+            self.start(name, "fakes/fake_target", "--listen", f"{address}:9000", "--http",
+                       f"{address}:9001", "--name", name, "--service", service,
+                       "--data-centre", centre)
+        live = ",".join(f"{ip}:{DATA_PORT}" for _, ip in self.instances.values())
+        maps = []
+        for address in self.listeners.values():
+            maps += ["--map", f"{address}={live}"]
+        self.start("fabric", "fakes/fake_fabric", "--listen", self.fabric_control, *maps)
+        for name in self.instances:
+            self.start_instance(name)
+
+    def state_address(self, name):
+        """Returns where an instance finds the platform's store."""
+        return self.platform
+
+    def start_instance(self, name):
+        centre, address = self.instances[name]
+        settings = {
+            "name": name, "data_centre": centre, "data": f"{address}:{DATA_PORT}",
+            "ready": f"{address}:{READY_PORT}", "ready_path": "/ready",
+            "metrics": f"{address}:{OPERATORS_PORT}", "peer": f"{address}:{PEER_PORT}",
+            "peer_key": PEER_KEY, "state": self.state_address(name),
+            "seeds": [f"{ip}:{PEER_PORT}" for _, ip in list(self.instances.values())[:3]],
+        }
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        self.start(name, "src/daemon/kumquatpathd", path)
+
+    def submit(self):
+        path = os.path.join(self.folder, f"{self.name}.json")
+        with open(path, "w") as file:
+            json.dump(self.configuration(), file, indent=2)
+        checked = self.client("check", path, check=False)
+        if checked.returncode != 0:
+            sys.exit(f"the demo's configuration is refused:\n{checked.stdout}"
+                     f"{checked.stderr}")
+        return self.client("apply", path, "--wait").stdout.strip()
+
+    def start_callers(self):
+        for i, load in enumerate(self.plan["loads"]):
+            arguments = [
+                "--name", load["name"], "--fabric", self.listeners[load["service"]],
+                "--listen", f"127.{self.plan['network']}.200.{i + 1}",
+                "--service", load["service"], "--class", str(load["class"]),
+                "--tenant", "1", "--rate", str(load["rate"]), "--seconds",
+                str(self.seconds), "--seed", str(i + 1), "--deadline-ms", "4000"]
+            if load.get("repeatable"):
+                arguments.append("--repeatable")
+            if "requests" in load:
+                arguments += ["--flow-requests", str(load["requests"]),
+                              "--request-interval-ms", "200",
+                              "--fragments", str(load["fragments"]),
+                              "--bytes", str(load["bytes"])]
+            self.start(load["name"], "fakes/fake_caller", *arguments)
+
+    def withdraw_data_centre(self):
+        withdrawn = self.plan["withdrawn"]
+        print(f"  withdrawing {withdrawn}: "
+              + self.client("drain", "data-centre", withdrawn).stdout.strip())
+        leaving = next(name for name, (centre, _) in self.instances.items()
+                       if centre == withdrawn)
+        time.sleep(1)
+        live = [f"{ip}:{DATA_PORT}" for name, (_, ip) in self.instances.items()
+                if name != leaving]
+        for address in self.listeners.values():
+            http("PUT", f"http://{self.fabric_control}/fabric/live",
+                 {"listener": address, "instances": live})
+        self.processes[leaving].send_signal(signal.SIGTERM)
+        return leaving
+
+    def caller_reports(self):
+        reports = []
+        for load in self.plan["loads"]:
+            output, _ = self.processes[load["name"]].communicate(
+                timeout=self.seconds + CALLER_GRACE_SECONDS)
+            reports.append(json.loads(output.strip().splitlines()[-1]))
+        return reports
+
+    def target_reports(self):
+        return [http("GET", f"http://{address}:9001/report")
+                for _, _, address in self.targets.values()]
+
+    def stop_all(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+        for process in self.processes.values():
+            try:
+                process.wait(timeout=15)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+def http(method, url, body=None, attempts=40):
+    """Calls a stand-in or an instance; it may still be starting, so it is tried again."""
+    data = None if body is None else json.dumps(body).encode()
+    for attempt in range(attempts):
+        try:
+            request = urllib.request.Request(url, data=data, method=method)
+            with urllib.request.urlopen(request, timeout=2) as answer:
+                return json.loads(answer.read() or b"{}")
+        except (urllib.error.URLError, ConnectionError, TimeoutError):
+            if attempt == attempts - 1:
+                raise
+            time.sleep(0.1)
+    return None
+
+
+def faults_in(callers, targets):
+    """Returns what did not hold, by what callers and targets have seen."""
+    faults = []
+    ran = {}
+    for each in callers:
+        if each["broken_flows"] > 0:
+            faults.append(f"{each['name']}: {each['broken_flows']} broken flows")
+        if each["answered"] == 0:
+            faults.append(f"{each['name']}: nothing was answered")
+    for each in targets:
+        for key in each["runs"]:
+            if key in ran:
+                faults.append(f"submission {key} ran on {ran[key]} and {each['name']}")
+            ran[key] = each["name"]
+        if each["misdelivered"] > 0:
+            faults.append(f"{each['name']}: {each['misdelivered']} packets of others")
+    return faults
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -102,11 +102,23 @@
         [] { log(log_level::error, "reload_refused"); });
 }
 
+sigset_t daemon_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
 void daemon::run()
 {
     std::thread transfer_thread([this] { transfers_.run(); });
     std::thread http_thread([this] { https_.run(); });
     std::thread state_thread([this] { states_.run(); });
+    const sigset_t taken = daemon_signals();
+    pthread_sigmask(SIG_UNBLOCK, &taken, nullptr);
     packets_.run();
     transfers_.stop();
     https_.stop();
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -13,6 +13,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <csignal>
 #include <string>
 
 namespace kumquatpath
@@ -26,6 +27,10 @@
     configuration_reader read_configuration = nullptr;
 };
 
+/// Returns the signals that the daemon takes. They may be blocked until run(), which
+/// unblocks them for its thread.
+sigset_t daemon_signals();
+
 /// Runs each duty on a thread of its own. The packet duty has the thread that calls
 /// run().
 ///
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,6 +15,7 @@
 #include <platform/store_client.hpp>
 #include <tclap/CmdLine.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -79,6 +80,14 @@
         });
 }
 
+/// Keeps signals back until the daemon can take them: one that came during the start
+/// would end the process.
+void hold_signals()
+{
+    const sigset_t held = daemon_signals();
+    pthread_sigmask(SIG_BLOCK, &held, nullptr);
+}
+
 std::unique_ptr<packet_format> make_format(const daemon_settings& settings)
 {
     if (settings.serves == served_interface::own)
@@ -111,6 +120,7 @@
 int main(int argc, char** argv)
 {
     using namespace kumquatpath;
+    hold_signals();
     const std::string path = settings_path(argc, argv);
     const auto settings = load_settings(path);
     if (!settings)
--- a/test/smoke/platform_path_test.py
+++ b/test/smoke/platform_path_test.py
@@ -184,6 +184,18 @@
     assert time.time() - started < 6
 
 
+def check_signals_at_start(world):
+    for delay in (0.001, 0.002, 0.004):
+        world.start_instance("entry-4")
+        process = world.processes["entry-4"]
+        time.sleep(delay)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.1)
+        assert process.poll() is None, f"SIGHUP {delay} s after the start ended the instance"
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(timeout=6) == 0
+
+
 def main():
     INSTANCES["entry-3"] = "127.82.1.6"
     first = ["entry-1", "entry-2"]
@@ -206,6 +218,8 @@
             INSTANCES["entry-3"] = "127.82.1.6"
             check_outage(world)
             check_stop(world)
+            INSTANCES["entry-4"] = "127.82.1.7"
+            check_signals_at_start(world)
         finally:
             world.stop_all()
     print("the platform's path holds")
