--- a/include/kumquatpath/decision/entry.hpp
+++ b/include/kumquatpath/decision/entry.hpp
@@ -10,6 +10,7 @@
 /// knows for as long as nobody can tell it better.
 
 #include <kumquatpath/decision/fleet_peers.hpp>
+#include <kumquatpath/decision/flow_limits.hpp>
 #include <kumquatpath/decision/flow_steering.hpp>
 
 namespace kumquatpath
@@ -25,6 +26,7 @@
     target_directory directory;
     shared_configuration configuration;
     flow_steering steering;
+    flow_limits limits;
     fleet_peers fleet;
     std::uint64_t beats_sent = 0;
     /// When the shared state was last known to be as it is here; unset: never.
@@ -88,6 +90,9 @@
 /// Notes that this instance has read the shared state, as it was at \p as_of.
 void note_reading(entry& self, time_point as_of, time_point now);
 
+/// Returns whether the operators' limits admit the flow that \p packet opens.
+bool admit(entry& self, const flow_packet& packet, time_point now);
+
 /// Takes a beat of a peer.
 beat_outcome take_beat(entry& self, const fleet_message& message, const fleet_beat& beat,
                        time_point now);
--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -45,6 +45,9 @@
     /// The caller ends the flow, with or without ceremony.
     bool is_end = false;
     bool has_payload = false;
+    /// Only where packets tell them.
+    tenant_id tenant;
+    class_id traffic_class;
 };
 
 /// What is done with a packet.
--- a/include/kumquatpath/model/routing_table.hpp
+++ b/include/kumquatpath/model/routing_table.hpp
@@ -38,6 +38,8 @@
     bool is_repeatable = false;
     /// The time within which an answer is of full use.
     std::chrono::milliseconds latency_goal{0};
+    /// New flows a second that the service takes over the whole fleet; 0: no limit.
+    std::uint32_t flows_per_second = 0;
 };
 
 /// The routes of one configuration, by the address that callers send to.
@@ -46,6 +48,9 @@
     /// The operators' number of the configuration.
     kumquatpath::generation generation;
     boost::unordered_flat_map<std::uint64_t, route> routes;
+    /// New flows a second over the whole fleet, by the numbers that packets carry.
+    boost::unordered_flat_map<std::uint16_t, std::uint32_t> tenant_limits;
+    boost::unordered_flat_map<std::uint16_t, std::uint32_t> class_limits;
     /// Instances that operators withdraw: the fabric is to send them nothing.
     std::vector<instance_id> draining_instances;
 };
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -61,7 +61,8 @@
     void receive_packets();
     void steer_packet(const received_packet& received, time_point now);
     void forward(const received_packet& received, const steering_decision& decision);
-    void refuse(const waiting_opening& opening, time_point now);
+    void refuse(const flow_packet& packet, const received_packet& received,
+                std::string_view why, time_point now);
     void let_wait(const flow_packet& packet, const received_packet& received,
                   time_point now);
     void place_waiting(time_point now);
@@ -77,6 +78,8 @@
     void wait_for_tick();
     void tick_now(time_point now);
     void send_beats(time_point now);
+    /// Tells all peers of the own data centre and some others at once.
+    void tell_news(time_point now);
     void send_to_some(bool is_home, std::size_t most, time_point now);
     void send_beat(const endpoint& to, bool has_loads, time_point now);
     void find_seeds(time_point now);
--- /dev/null
+++ b/src/daemon/packet_duty_flows.cpp
@@ -0,0 +1,247 @@
+#include "packet_duty.hpp"
+
+#include <kumquatpath/edge/clock.hpp>
+#include <kumquatpath/edge/log.hpp>
+
+#include <algorithm>
+
+namespace kumquatpath
+{
+namespace
+{
+
+constexpr std::uint32_t most_lines_a_second = 100;
+/// What a flow takes from its placement on; an opening that waits must leave as much.
+constexpr duration usual_flow_time = std::chrono::milliseconds(100);
+
+constexpr std::string_view targets_full = "every target is full";
+
+received_packet as_received(const waiting_opening& opening)
+{
+    return {.datagram = opening.datagram, .source = opening.source};
+}
+
+std::string flow_name(const flow_packet& packet)
+{
+    return to_string(packet.caller) + ">" + to_string(packet.listener);
+}
+
+} // namespace
+
+void packet_duty::receive_packets()
+{
+    const time_point now = monotonic_now();
+    bool may_have_more = true;
+    while (may_have_more)
+    {
+        const auto batch = data_.receive();
+        for (const received_datagram& each : batch)
+        {
+            steer_packet({.datagram = each.bytes, .source = each.source}, now);
+        }
+        data_.flush();
+        may_have_more = batch.size() == udp_port::batch_size;
+    }
+    review_flows(self_.steering, self_.directory, now);
+    place_waiting(now);
+}
+
+void packet_duty::steer_packet(const received_packet& received, time_point now)
+{
+    const auto packet = format_.read(received);
+    if (!packet || self_.configuration.table == nullptr)
+    {
+        ++metrics_.packets_malformed;
+        return;
+    }
+    self_.last_packet_at = now;
+    const routing_table& table = *self_.configuration.table;
+    if (packet->is_opening && !admit(self_, *packet, now))
+    {
+        refuse(*packet, received, "over a limit", now);
+        return;
+    }
+    const steering_decision decision =
+        steer(self_.steering, table, self_.directory, *packet, now);
+    ++metrics_.verdicts[static_cast<std::size_t>(decision.verdict)];
+    if (decision.verdict == steering_verdict::forward)
+    {
+        forward(received, decision);
+    }
+    if (decision.verdict == steering_verdict::wait)
+    {
+        let_wait(*packet, received, now);
+    }
+    if (decision.opening_time || decision.flow_time)
+    {
+        const route* const found = find_route(table, packet->listener);
+        add_times(metrics_, found == nullptr ? "" : found->name, decision);
+    }
+    if (decision.is_placement || decision.verdict != steering_verdict::forward)
+    {
+        log_placement(*packet, decision, now);
+    }
+}
+
+void packet_duty::forward(const received_packet& received,
+                          const steering_decision& decision)
+{
+    const target_record& target = self_.directory.targets[decision.target].record;
+    const std::size_t size =
+        format_.write_forward(received, target, decision.token, scratch_);
+    data_.queue(target.address, payload_view(scratch_).first(size));
+}
+
+void packet_duty::let_wait(const flow_packet& packet, const received_packet& received,
+                           time_point now)
+{
+    const route* const found = find_route(*self_.configuration.table, packet.listener);
+    const time_point begun = now - packet.age;
+    const auto displaced = add_waiting(
+        waiting_, {.packet = packet,
+                   .datagram = {received.datagram.begin(), received.datagram.end()},
+                   .source = received.source,
+                   .begun = begun,
+                   .in_time_until = begun + found->latency_goal - usual_flow_time,
+                   .priority = found->priority});
+    if (displaced)
+    {
+        refuse(displaced->packet, as_received(*displaced), targets_full, now);
+    }
+}
+
+void packet_duty::refuse(const flow_packet& packet, const received_packet& received,
+                         std::string_view why, time_point now)
+{
+    endpoint to;
+    const std::size_t size = format_.write_refusal(received, scratch_, to);
+    data_.queue(to, payload_view(scratch_).first(size));
+    ++metrics_.openings_refused;
+    if (may_log(now))
+    {
+        log(log_level::info, "flow_refused",
+            {{"flow", flow_name(packet)},
+             {"why", why},
+             {"generation", self_.configuration.table->generation.value},
+             {"waiting", waiting_.openings.size()}});
+    }
+}
+
+void packet_duty::place_waiting(time_point now)
+{
+    if (waiting_.openings.empty())
+    {
+        return;
+    }
+    for (const waiting_opening& each : take_expired(waiting_, now))
+    {
+        refuse(each.packet, as_received(each), targets_full, now);
+    }
+    order_waiting(waiting_, now);
+    std::vector<endpoint> full;
+    std::erase_if(waiting_.openings,
+                  [&](const waiting_opening& each)
+                  {
+                      if (std::find(full.begin(), full.end(), each.packet.listener) !=
+                          full.end())
+                      {
+                          return false;
+                      }
+                      const steering_decision decision =
+                          steer(self_.steering, *self_.configuration.table,
+                                self_.directory, each.packet, now);
+                      if (decision.verdict == steering_verdict::wait)
+                      {
+                          full.push_back(each.packet.listener);
+                          return false;
+                      }
+                      if (decision.verdict == steering_verdict::forward)
+                      {
+                          forward(as_received(each), decision);
+                      }
+                      log_placement(each.packet, decision, now);
+                      return true;
+                  });
+    data_.flush();
+}
+
+bool packet_duty::may_log(time_point now)
+{
+    if (now >= log_refill_)
+    {
+        log_refill_ = now + std::chrono::seconds(1);
+        log_allowance_ = most_lines_a_second;
+        if (metrics_.log_lines_held_back > logged_held_back_)
+        {
+            log(log_level::warning, "lines_held_back",
+                {{"lines", metrics_.log_lines_held_back - logged_held_back_}});
+            logged_held_back_ = metrics_.log_lines_held_back;
+        }
+    }
+    if (log_allowance_ == 0)
+    {
+        ++metrics_.log_lines_held_back;
+        return false;
+    }
+    --log_allowance_;
+    return true;
+}
+
+void packet_duty::log_placement(const flow_packet& packet,
+                                const steering_decision& decision, time_point now)
+{
+    metrics_.flows_placed += decision.is_placement ? 1U : 0U;
+    if (!may_log(now))
+    {
+        return;
+    }
+    boost::json::object fields = {
+        {"flow", flow_name(packet)},
+        {"outcome", to_string(decision.verdict)},
+        {"generation", self_.configuration.table->generation.value},
+        {"position", self_.directory.position.value},
+        {"state_age_ms", state_age(self_, now).count()}};
+    if (decision.verdict == steering_verdict::unknown_token)
+    {
+        fields["token"] = packet.token.value;
+    }
+    if (decision.verdict == steering_verdict::forward)
+    {
+        const target_evidence& evidence = self_.steering.choice.evidence[decision.target];
+        fields["target"] =
+            to_string(self_.directory.targets[decision.target].record.address);
+        fields["busy"] = evidence.busy;
+        fields["peers_busy"] = evidence.peers_busy;
+        fields["overdue"] = evidence.overdue;
+    }
+    log(log_level::info, "flow_placed", std::move(fields));
+}
+
+void packet_duty::watch_targets(time_point now)
+{
+    const auto& evidence = self_.steering.choice.evidence;
+    were_suspect_.resize(evidence.size(), false);
+    for (std::size_t i = 0; i < evidence.size(); ++i)
+    {
+        const bool is_now = is_suspect(evidence[i]);
+        if (is_now == were_suspect_[i])
+        {
+            continue;
+        }
+        were_suspect_[i] = is_now;
+        boost::json::object fields = {
+            {"target", to_string(self_.directory.targets[i].record.address)},
+            {"overdue", evidence[i].overdue}};
+        if (evidence[i].answered_opening != time_point())
+        {
+            fields["last_answer_age_ms"] =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - evidence[i].answered_opening)
+                    .count();
+        }
+        log(log_level::warning, is_now ? "target_suspect" : "target_trusted",
+            std::move(fields));
+    }
+}
+
+} // namespace kumquatpath
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -185,6 +185,16 @@
     note_freshness(self, as_of, now);
 }
 
+bool admit(entry& self, const flow_packet& packet, time_point now)
+{
+    const auto live =
+        std::count_if(self.fleet.peers.begin(), self.fleet.peers.end(),
+                      [&](const auto& each)
+                      { return is_live(each.second, now) && !each.second.is_leaving; });
+    return admit_flow(self.limits, *self.configuration.table, packet,
+                      static_cast<std::size_t>(live) + 1, now);
+}
+
 beat_outcome take_beat(entry& self, const fleet_message& message, const fleet_beat& beat,
                        time_point now)
 {
--- a/src/edge/own_packet_format.cpp
+++ b/src/edge/own_packet_format.cpp
@@ -44,7 +44,9 @@
                        .token = header.token,
                        .is_opening = header.kind == packet_kind::open,
                        .is_end = header.kind == packet_kind::close,
-                       .has_payload = !decoded->payload.empty()};
+                       .has_payload = !decoded->payload.empty(),
+                       .tenant = header.tenant,
+                       .traffic_class = header.traffic_class};
 }
 
 std::size_t own_packet_format::write_forward(const received_packet& packet,
--- a/src/model/configured_state.cpp
+++ b/src/model/configured_state.cpp
@@ -17,6 +17,13 @@
             centre->state == administrative_state::draining);
 }
 
+std::uint32_t limit_of(const configuration& whole, service_id id)
+{
+    const auto found = std::find_if(whole.services.begin(), whole.services.end(),
+                                    [&](const service& each) { return each.id == id; });
+    return found == whole.services.end() ? 0 : found->requests_per_second;
+}
+
 /// Connections that a target holds, by the requests that it works on at once.
 constexpr std::uint32_t connections_by_slot = 2000;
 
@@ -38,9 +45,18 @@
     routing_table table{.generation = whole.generation};
     for (const listener& each : whole.listeners)
     {
-        table.routes.emplace(
-            pack(each.address),
-            route{.name = each.name, .services = {{.service = each.service}}});
+        table.routes.emplace(pack(each.address),
+                             route{.name = each.name,
+                                   .services = {{.service = each.service}},
+                                   .flows_per_second = limit_of(whole, each.service)});
+    }
+    for (const tenant& each : whole.tenants)
+    {
+        table.tenant_limits[each.id.value] = each.requests_per_second;
+    }
+    for (const traffic_class& each : whole.classes)
+    {
+        table.class_limits[each.id.value] = each.requests_per_second;
     }
     for (const std::string& name : whole.draining_instances)
     {
