Leave news of other data centres to the own reader for a second; watch the settings

And a settings file that changes without a signal was not noticed. Change: in a fleet of over 16 peers an instance asks afar only after 0.9 to 1.5 s in which nobody at home knows more; the settings file is looked at every 3 s.

--- a/include/kumquatpath/decision/entry.hpp
+++ b/include/kumquatpath/decision/entry.hpp
@@ -34,6 +34,8 @@
     std::optional<time_point> leaving_since;
     time_point last_packet_at;
     time_point next_upkeep;
+    /// Since when a peer is known to know more; unset: none does.
+    std::optional<time_point> behind_since;
 };
 
 /// What an entry instance is told of itself at its start.
@@ -90,6 +92,14 @@
 /// Notes that this instance has read the shared state, as it was at \p as_of.
 void note_reading(entry& self, time_point as_of, time_point now);
 
+/// Returns the peer to ask for what this instance lacks, or null. \p avoided did not
+/// answer.
+///
+/// In a large fleet a peer of another data centre is asked only when nobody at home has
+/// come to know more for a second or so: the data centre's reader usually brings it, once
+/// for all.
+const fleet_peer* choose_teller(entry& self, instance_id avoided, time_point now);
+
 /// Returns whether the operators' limits admit the flow that \p packet opens.
 bool admit(entry& self, const flow_packet& packet, time_point now);
 
--- a/include/kumquatpath/decision/fleet_peers.hpp
+++ b/include/kumquatpath/decision/fleet_peers.hpp
@@ -84,6 +84,8 @@
     state_revision position;
     state_revision configuration;
     instance_id avoided;
+    /// Only peers of the own data centre.
+    bool is_home_only = false;
     /// Uniform random bits: they spread the instances over those that can tell.
     std::uint64_t random = 0;
 };
@@ -97,6 +99,9 @@
 std::vector<fleet_member> members_to_tell(const fleet_peers& fleet, std::size_t most,
                                           std::uint64_t turn, time_point now);
 
+/// Returns whether the fleet is so large that not everybody hears everybody.
+bool is_large(const fleet_peers& fleet);
+
 /// Returns how long a reader waits after it has read a change.
 std::chrono::milliseconds reading_pause(const fleet_peers& fleet);
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -16,6 +16,16 @@
 {
 
 constexpr std::size_t inbox_capacity = 256;
+/// How often the settings file is looked at.
+constexpr std::chrono::seconds settings_interval{3};
+
+/// Returns when \p file was last written; the epoch if that can't be told.
+std::filesystem::file_time_type written_at(const std::string& file)
+{
+    std::error_code failure;
+    const auto time = std::filesystem::last_write_time(file, failure);
+    return failure ? std::filesystem::file_time_type() : time;
+}
 
 std::uint64_t random_incarnation()
 {
@@ -57,9 +67,29 @@
              [this](packet_input message) { from_http_.send(std::move(message)); }),
       to_transfer_(transfers_.context(), inbox_capacity,
                    [this](const ask_peer& order) { transfers_.ask(order); }),
-      signals_(packets_.context(), SIGTERM, SIGINT, SIGHUP)
+      signals_(packets_.context(), SIGTERM, SIGINT, SIGHUP),
+      settings_timer_(packets_.context()), settings_written_(written_at(settings_file_))
 {
     wait_for_signal();
+    watch_settings();
+}
+
+void daemon::watch_settings()
+{
+    settings_timer_.expires_after(settings_interval);
+    settings_timer_.async_wait(
+        [this](const boost::system::error_code& failure)
+        {
+            if (failure)
+            {
+                return;
+            }
+            if (written_at(settings_file_) != settings_written_)
+            {
+                reload();
+            }
+            watch_settings();
+        });
 }
 
 void daemon::wait_for_signal()
@@ -85,6 +115,7 @@
 
 void daemon::reload()
 {
+    settings_written_ = written_at(settings_file_);
     std::ifstream file(settings_file_, std::ios::binary);
     const std::string text(std::istreambuf_iterator<char>(file), {});
     boost::leaf::try_handle_all(
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -12,8 +12,10 @@
 #include <kumquatpath/edge/inbox.hpp>
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <csignal>
+#include <filesystem>
 #include <string>
 
 namespace kumquatpath
@@ -34,7 +36,8 @@
 /// Runs each duty on a thread of its own. The packet duty has the thread that calls
 /// run().
 ///
-/// SIGTERM and SIGINT ask for a graceful stop; SIGHUP has the settings file read again.
+/// SIGTERM and SIGINT ask for a graceful stop; SIGHUP, or a change of the file, has the
+/// settings read again.
 class daemon
 {
 public:
@@ -48,6 +51,7 @@
 
 private:
     void wait_for_signal();
+    void watch_settings();
     void reload();
 
     std::string settings_file_;
@@ -60,6 +64,8 @@
     http_duty https_;
     inbox<ask_peer> to_transfer_;
     boost::asio::signal_set signals_;
+    boost::asio::steady_timer settings_timer_;
+    std::filesystem::file_time_type settings_written_;
 };
 
 } // namespace kumquatpath
--- a/src/daemon/packet_duty_peers.cpp
+++ b/src/daemon/packet_duty_peers.cpp
@@ -133,13 +133,7 @@
     {
         return;
     }
-    const fleet_peer* const teller =
-        better_informed(self_.fleet,
-                        {.position = self_.directory.position,
-                         .configuration = self_.configuration.revision,
-                         .avoided = last_asked_,
-                         .random = mix(self_.incarnation, self_.beats_sent)},
-                        now);
+    const fleet_peer* const teller = choose_teller(self_, last_asked_, now);
     if (teller == nullptr)
     {
         return;
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -11,6 +11,10 @@
 constexpr duration least_leave = std::chrono::milliseconds(1200);
 constexpr duration quiet_before_end = std::chrono::milliseconds(400);
 constexpr duration longest_leave = std::chrono::milliseconds(5000);
+/// How long the own data centre may take to know more before others are asked, and how
+/// far apart its instances lose their patience.
+constexpr duration patience_with_home = std::chrono::milliseconds(900);
+constexpr std::uint64_t patience_spread_ms = 600;
 constexpr duration upkeep_interval = std::chrono::milliseconds(500);
 constexpr std::size_t most_members_told = 8;
 constexpr std::size_t most_loads_told = 100;
@@ -185,6 +189,26 @@
     note_freshness(self, as_of, now);
 }
 
+const fleet_peer* choose_teller(entry& self, instance_id avoided, time_point now)
+{
+    teller_request request{.position = self.directory.position,
+                           .configuration = self.configuration.revision,
+                           .avoided = avoided,
+                           .random = mix(self.incarnation, self.beats_sent)};
+    if (better_informed(self.fleet, request, now) == nullptr)
+    {
+        self.behind_since.reset();
+        return nullptr;
+    }
+    self.behind_since = self.behind_since.value_or(now);
+    const duration patience =
+        patience_with_home +
+        std::chrono::milliseconds(mix(self.fleet.self.value, 1) % patience_spread_ms);
+    request.is_home_only = is_large(self.fleet) && self.directory.position.value > 0 &&
+                           now < *self.behind_since + patience;
+    return better_informed(self.fleet, request, now);
+}
+
 bool admit(entry& self, const flow_packet& packet, time_point now)
 {
     const auto live =
--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -48,11 +48,6 @@
     return rank;
 }
 
-bool is_large(const fleet_peers& fleet)
-{
-    return fleet.peers.size() > most_peers_of_small_fleet;
-}
-
 /// A small fleet has two readers, a larger one a reader in each data centre, so that the
 /// state comes to each over few steps.
 bool is_appointed(const fleet_peers& fleet, time_point now)
@@ -118,6 +113,10 @@
     {
         const bool knows_more = peer.position > request.position ||
                                 peer.configuration > request.configuration;
+        if (request.is_home_only && peer.data_centre != fleet.home)
+        {
+            continue;
+        }
         const std::tuple rank(instance != request.avoided, peer.data_centre == fleet.home,
                               mix(request.random, instance.value));
         if (knows_more && is_live(peer, now) && (best == nullptr || rank > best_rank))
@@ -200,6 +199,11 @@
     return forgotten;
 }
 
+bool is_large(const fleet_peers& fleet)
+{
+    return fleet.peers.size() > most_peers_of_small_fleet;
+}
+
 std::chrono::milliseconds reading_pause(const fleet_peers& fleet)
 {
     return is_large(fleet) ? pause_of_large_fleet : pause_of_small_fleet;
--- a/test/decision/entry_test.cpp
+++ b/test/decision/entry_test.cpp
@@ -121,3 +121,27 @@
     CHECK_TRUE(state_age(self, now) == 700ms);
     CHECK_TRUE(make_beat(self, true, now).age == 700ms);
 }
+
+TEST(entry, in_a_large_fleet_others_are_asked_when_nobody_at_home_knows_more_for_a_while)
+{
+    take_all(10);
+    for (std::uint32_t sender = 100; sender < 130; ++sender)
+    {
+        const fleet_beat beat{.incarnation = 1,
+                              .data_centre = south,
+                              .position = {11},
+                              .configuration = {3}};
+        take_beat(self, {.sender = {sender}, .sequence = 1, .body = beat}, beat, now);
+    }
+    POINTERS_EQUAL(nullptr, choose_teller(self, {}, now));
+    now += 1400ms;
+    const fleet_beat at_home{
+        .incarnation = 1, .data_centre = north, .position = {11}, .configuration = {3}};
+    take_beat(self, message_with(at_home, 1), at_home, now);
+    CHECK_TRUE(choose_teller(self, {}, now) != nullptr);
+    self.fleet.peers.erase({7});
+    now += 99ms;
+    const fleet_peer* const teller = choose_teller(self, {}, now);
+    CHECK_TRUE(teller != nullptr);
+    CHECK_TRUE(teller->data_centre == south);
+}
--- a/test/smoke/platform_path_test.py
+++ b/test/smoke/platform_path_test.py
@@ -175,6 +175,18 @@
     assert world.arrival() is not None, "the new instance serves"
 
 
+def check_reload(world):
+    path = os.path.join(world.folder, "entry-1.json")
+    with open(path) as file:
+        settings = json.load(file)
+    settings["seeds"] = settings["seeds"][:1]
+    with open(path, "w") as file:
+        json.dump(settings, file)
+    log = os.path.join(world.folder, "entry-1.log")
+    wait_until("changed settings are read without a signal",
+               lambda: '"event":"reloaded","seeds":1' in open(log).read())
+
+
 def check_stop(world):
     world.processes["entry-1"].send_signal(signal.SIGHUP)
     time.sleep(0.1)
@@ -222,6 +234,7 @@
             check_changes(world, name, token)
             INSTANCES["entry-3"] = "127.82.1.6"
             check_outage(world)
+            check_reload(world)
             check_stop(world)
             INSTANCES["entry-4"] = "127.82.1.7"
             check_signals_at_start(world)
