--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -17,7 +17,6 @@
 constexpr std::uint64_t patience_spread_ms = 600;
 constexpr duration upkeep_interval = std::chrono::milliseconds(500);
 constexpr std::size_t most_members_told = 8;
-constexpr std::size_t most_members_told_in_large_fleet = 3;
 constexpr std::size_t most_loads_told = 100;
 
 /// Notes a return of the shared state if it was out of reach for long.
