--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -273,12 +273,11 @@
         });
 }
 
-std::uint32_t fleet_model::choose(const request_at& held, const flow_packet& packet)
+std::uint32_t fleet_model::choose(const flow_packet& packet)
 {
     const std::uint64_t number = options_.policy == placement_policy::hashed
                                      ? mix(packet.flow.value, 11)
                                      : random_();
-    static_cast<void>(held);
     return static_cast<std::uint32_t>(number % targets_.size());
 }
 
@@ -288,7 +287,7 @@
     instance& by = instances_[number];
     if (packet.is_opening && options_.policy != placement_policy::steering)
     {
-        pass_on(number, choose(held, packet), held, packet);
+        pass_on(number, choose(packet), held, packet);
         return;
     }
     const steering_decision decision =
--- a/bench/fleet_model.hpp
+++ b/bench/fleet_model.hpp
@@ -131,7 +131,7 @@
     void start_instance(std::uint32_t number);
     void tick_regularly();
     void share_loads_regularly();
-    std::uint32_t choose(const request_at& held, const flow_packet& packet);
+    std::uint32_t choose(const flow_packet& packet);
     window_counts& window_of(const request& held);
 
     model_options options_;
--- a/include/kumquatpath/decision/flow_limits.hpp
+++ b/include/kumquatpath/decision/flow_limits.hpp
@@ -27,6 +27,9 @@
     boost::unordered_flat_map<std::uint64_t, limit_bucket> buckets;
 };
 
+/// Returns whether any limit of \p table may hold for \p packet.
+bool has_limit(const routing_table& table, const flow_packet& packet);
+
 /// Returns whether the flow that \p packet opens is within every limit of \p table, and
 /// takes it off them if it is. \p instances share each limit.
 bool admit_flow(flow_limits& limits, const routing_table& table,
--- a/include/kumquatpath/decision/waiting_room.hpp
+++ b/include/kumquatpath/decision/waiting_room.hpp
@@ -33,7 +33,6 @@
     time_point begun;
     /// Until when it can be placed and still be answered in time.
     time_point in_time_until;
-    std::uint32_t priority = 0;
 };
 
 /// All openings that wait.
--- a/include/kumquatpath/model/time.hpp
+++ b/include/kumquatpath/model/time.hpp
@@ -34,6 +34,12 @@
 using wall_time =
     std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
 
+/// Returns \p time in milliseconds, with their fractions.
+inline double milliseconds_of(duration time)
+{
+    return std::chrono::duration<double, std::milli>(time).count();
+}
+
 } // namespace kumquatpath
 
 #endif
--- a/src/daemon/http_duty.cpp
+++ b/src/daemon/http_duty.cpp
@@ -1,5 +1,7 @@
 #include "http_duty.hpp"
 
+#include <kumquatpath/edge/tcp_address.hpp>
+
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -23,11 +25,6 @@
 constexpr std::string_view metrics_path = "/metrics";
 constexpr std::string_view status_path = "/v1/status";
 
-tcp::endpoint to_tcp(const endpoint& value)
-{
-    return {asio::ip::address_v4(value.address), value.port};
-}
-
 } // namespace
 
 /// One connection; it answers one request after the other.
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -17,11 +17,6 @@
         time_axis(time_bins, least_time_ms, most_time_ms));
 }
 
-double milliseconds_of(duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
 void write_histogram(std::ostream& out, std::string_view name, std::string_view route,
                      const time_histogram& times)
 {
--- a/src/daemon/packet_duty_flows.cpp
+++ b/src/daemon/packet_duty_flows.cpp
@@ -102,8 +102,7 @@
                    .datagram = {received.datagram.begin(), received.datagram.end()},
                    .source = received.source,
                    .begun = begun,
-                   .in_time_until = begun + found->latency_goal - usual_flow_time,
-                   .priority = found->priority});
+                   .in_time_until = begun + found->latency_goal - usual_flow_time});
     if (displaced)
     {
         refuse(displaced->packet, as_received(*displaced), targets_full, now);
--- a/src/daemon/transfer_duty.cpp
+++ b/src/daemon/transfer_duty.cpp
@@ -2,6 +2,7 @@
 
 #include <kumquatpath/edge/fleet_codec.hpp>
 #include <kumquatpath/edge/log.hpp>
+#include <kumquatpath/edge/tcp_address.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
@@ -25,11 +26,6 @@
 constexpr auto session_timeout = std::chrono::milliseconds(1500);
 constexpr std::size_t length_size = 4;
 
-tcp::endpoint to_tcp(const endpoint& value)
-{
-    return {asio::ip::address_v4(value.address), value.port};
-}
-
 /// Returns \p message behind its length.
 std::vector<std::byte> framed(const std::vector<std::byte>& message)
 {
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -19,13 +19,18 @@
 constexpr std::size_t most_members_told = 8;
 constexpr std::size_t most_loads_told = 100;
 
-/// Notes a return of the shared state if it was out of reach for long.
-void note_freshness(entry& self, time_point as_of, time_point now)
+/// Notes that the shared state can be read as it was at \p as_of, after whatever outage.
+void note_contact(entry& self, time_point as_of, time_point now)
 {
-    if (self.fresh_at && as_of - *self.fresh_at >= lapsing_outage)
+    if (self.fresh_at)
     {
         note_return(self.directory, as_of - *self.fresh_at, now);
     }
+}
+
+void note_freshness(entry& self, time_point as_of, time_point now)
+{
+    note_contact(self, as_of, now);
     self.fresh_at = self.fresh_at ? std::max(*self.fresh_at, as_of) : as_of;
 }
 
@@ -149,10 +154,7 @@
 state_outcome take_changes(entry& self, std::span<const target_change> changes,
                            state_revision position, time_point now)
 {
-    if (self.fresh_at)
-    {
-        note_return(self.directory, now - *self.fresh_at, now);
-    }
+    note_contact(self, now, now);
     state_outcome outcome;
     for (const target_change& each : changes)
     {
@@ -165,10 +167,7 @@
 state_outcome take_listing(entry& self, std::span<const target_change> listing,
                            state_revision position, time_point now)
 {
-    if (self.fresh_at)
-    {
-        note_return(self.directory, now - *self.fresh_at, now);
-    }
+    note_contact(self, now, now);
     apply_listing(self.directory, listing, position, now);
     return {.targets_changed = listing.size()};
 }
@@ -211,6 +210,10 @@
 
 bool admit(entry& self, const flow_packet& packet, time_point now)
 {
+    if (!has_limit(*self.configuration.table, packet))
+    {
+        return true;
+    }
     const auto live = std::count_if(self.fleet.peers.begin(), self.fleet.peers.end(),
                                     [&](const auto& each) {
                                         return is_live(self.fleet, each.second, now) &&
--- a/src/decision/flow_limits.cpp
+++ b/src/decision/flow_limits.cpp
@@ -51,6 +51,13 @@
 
 } // namespace
 
+bool has_limit(const routing_table& table, const flow_packet& packet)
+{
+    const route* const chosen = find_route(table, packet.listener);
+    return !table.tenant_limits.empty() || !table.class_limits.empty() ||
+           (chosen != nullptr && chosen->flows_per_second > 0);
+}
+
 bool admit_flow(flow_limits& limits, const routing_table& table,
                 const flow_packet& packet, std::size_t instances, time_point now)
 {
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -27,11 +27,6 @@
 constexpr double least_slowness = 0.6;
 constexpr double most_slowness = 6;
 
-double milliseconds_of(duration time)
-{
-    return std::chrono::duration<double, std::milli>(time).count();
-}
-
 double smoothed(double old_value, double sample, double share)
 {
     return old_value == 0 ? sample : old_value + share * (sample - old_value);
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -1,4 +1,5 @@
 #include <kumquatpath/edge/http_client.hpp>
+#include <kumquatpath/edge/tcp_address.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -39,11 +40,6 @@
     return http::verb::delete_;
 }
 
-asio::ip::tcp::endpoint to_asio(const endpoint& address)
-{
-    return {asio::ip::address_v4(address.address), address.port};
-}
-
 } // namespace
 
 struct http_client::connection
@@ -84,7 +80,7 @@
     connection_ = std::make_unique<connection>(context_);
     std::optional<beast::error_code> ended;
     connection_->stream.expires_after(timeout);
-    connection_->stream.async_connect(to_asio(server_),
+    connection_->stream.async_connect(to_tcp(server_),
                                       [&](beast::error_code error) { ended = error; });
     if (run(ended))
     {
