Limit the requests under way by how long they take

Cause: in a flood beyond all targets every request was late. Each instance counted a target as full by the loads of its own data centre only, so three data centres together filled every queue (12 behind 3 slots): 300 to 400 ms for each request, aim 250. Ruled out: telling loads to all data centres, which costs bytes and is stale in large fleets; a fixed share for each instance, which fails when zones are loaded unevenly. Change: each instance lowers a limit for each service in proportion when requests take more than 0.45 of their latency goal, and raises it when it is reached and they do not. A request counts from its packet to the next one without work, so flows that are kept open count only while they wait for an answer.

--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -87,6 +87,8 @@
     time_point opened_at;
     time_point placed_at;
     time_point answered_at;
+    /// When the request was sent that has no answer yet; unset: none has.
+    std::optional<time_point> asked_at;
     time_point last_seen;
     /// How many targets the opening was sent to.
     std::uint8_t placements = 1;
--- a/include/kumquatpath/decision/target_choice.hpp
+++ b/include/kumquatpath/decision/target_choice.hpp
@@ -7,9 +7,10 @@
 /// An instance sees only what callers send. That is enough to judge a target: an opening
 /// that it answers is followed by the caller's next packet within a round trip, and an
 /// answered request by the caller's last one. A target that leaves openings unanswered is
-/// passed over until one is answered; flows that were opened and not yet ended are its
-/// load, together with what peers tell of theirs.
+/// passed over until one is answered; requests without their answer are its load,
+/// together with what peers tell of theirs.
 
+#include <kumquatpath/decision/concurrency_limit.hpp>
 #include <kumquatpath/decision/target_directory.hpp>
 
 #include <vector>
@@ -22,7 +23,7 @@
 {
     target_key key;
     std::uint64_t incarnation = 0;
-    /// Flows that this instance placed there and that wait for their answer.
+    /// Flows that this instance sent there and that wait for an answer.
     std::uint32_t busy = 0;
     /// The same of all peers, as last told.
     std::uint32_t peers_busy = 0;
@@ -32,7 +33,7 @@
     std::uint32_t overdue = 0;
     /// When it was last passed a trial flow.
     time_point last_trial;
-    /// Smoothed time from the opening's answer to the flow's end; 0: none seen.
+    /// Smoothed time from a request to its answer; 0: none seen.
     double service_ms = 0;
 };
 
@@ -60,6 +61,10 @@
     boost::unordered_flat_map<data_centre_id, data_centre_evidence,
                               std::hash<data_centre_id>>
         data_centres;
+    boost::unordered_flat_map<service_id, concurrency_limit, std::hash<service_id>>
+        limits;
+    /// The instances that serve, this one among them.
+    std::uint32_t instances = 1;
 };
 
 /// Where a new flow may go.
@@ -102,8 +107,10 @@
 void note_overdue(target_choice& choice, const target_directory& directory,
                   target_index place, time_point sent);
 
-/// Notes how long a flow took from its opening's answer to its end.
-void note_served(target_evidence& target, duration time);
+/// Notes that the target at \p place took \p time for a request whose latency goal is
+/// \p goal.
+void note_served(target_choice& choice, const target_directory& directory,
+                 target_index place, duration time, duration goal, time_point now);
 
 } // namespace kumquatpath
 
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -65,6 +65,17 @@
     }
 }
 
+/// Returns how many instances serve, with this one.
+std::uint32_t live_instances(const entry& self, time_point now)
+{
+    const auto peers = std::count_if(self.fleet.peers.begin(), self.fleet.peers.end(),
+                                     [&](const auto& each) {
+                                         return is_live(self.fleet, each.second, now) &&
+                                                !each.second.is_leaving;
+                                     });
+    return static_cast<std::uint32_t>(peers) + 1;
+}
+
 bool is_withdrawn(const entry& self)
 {
     const auto& withdrawn = self.configuration.table->draining_instances;
@@ -214,13 +225,8 @@
     {
         return true;
     }
-    const auto live = std::count_if(self.fleet.peers.begin(), self.fleet.peers.end(),
-                                    [&](const auto& each) {
-                                        return is_live(self.fleet, each.second, now) &&
-                                               !each.second.is_leaving;
-                                    });
     return admit_flow(self.limits, *self.configuration.table, packet,
-                      static_cast<std::size_t>(live) + 1, now);
+                      live_instances(self, now), now);
 }
 
 beat_outcome take_beat(entry& self, const fleet_message& message, const fleet_beat& beat,
@@ -252,6 +258,7 @@
     {
         self.next_upkeep = now + upkeep_interval;
         forget_silent(self.fleet, now);
+        self.steering.choice.instances = live_instances(self, now);
         sum_loads(self, now);
         forget_gone(self.directory, now);
     }
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -184,18 +184,34 @@
     note_answered(steering.choice, directory, by, flow.placed_at, now);
 }
 
-void note_packet(flow_steering& steering, const target_directory& directory,
-                 seen_flow& flow, const flow_packet& packet, time_point now)
+/// Notes the requests and answers of \p flow: a request is a packet with work, and the
+/// caller's next packet without any acknowledges the answer.
+void note_packet(flow_steering& steering, const routing_table& table,
+                 const target_directory& directory, seen_flow& flow,
+                 const flow_packet& packet, time_point now)
 {
     flow.last_seen = now;
-    if (packet.is_end)
+    if (packet.has_payload)
+    {
+        flow.asked_at = flow.asked_at.value_or(now);
+        set_busy(steering, directory, flow, true);
+    }
+    else if (flow.asked_at)
     {
-        if (flow.is_answered && !flow.is_ended && !flow.is_adopted)
+        const route* const chosen = find_route(table, packet.listener);
+        const duration goal = chosen == nullptr ? duration(0) : chosen->latency_goal;
+        if (evidence_of(steering.choice, directory, flow.target).key == flow.key)
         {
-            note_served(evidence_of(steering.choice, directory, flow.target),
-                        now - flow.answered_at);
+            note_served(steering.choice, directory, flow.target, now - *flow.asked_at,
+                        goal, now);
         }
+        flow.asked_at.reset();
+        set_busy(steering, directory, flow, false);
+    }
+    if (packet.is_end)
+    {
         flow.is_ended = true;
+        flow.asked_at.reset();
         set_busy(steering, directory, flow, false);
     }
 }
@@ -257,8 +273,9 @@
 }
 
 /// Remembers a flow that was opened through another instance and whose packets come here.
-void adopt(flow_steering& steering, const target_directory& directory,
-           const flow_packet& packet, target_index target, time_point now)
+void adopt(flow_steering& steering, const routing_table& table,
+           const target_directory& directory, const flow_packet& packet,
+           target_index target, time_point now)
 {
     note_stray(steering, now);
     if (packet.is_end || steering.flows.size() >= most_remembered_flows)
@@ -273,6 +290,7 @@
             .is_answered = true,
             .is_adopted = true};
     place(steering, directory, flow, target, now);
+    note_packet(steering, table, directory, flow, packet, now);
 }
 
 } // namespace
@@ -293,7 +311,7 @@
     const auto found = steering.flows.find(packet.flow.value);
     if (found == steering.flows.end())
     {
-        adopt(steering, directory, packet, *told, now);
+        adopt(steering, table, directory, packet, *told, now);
         return forward_to(directory, *told, false);
     }
     seen_flow& flow = found->second;
@@ -307,7 +325,7 @@
     {
         decision.flow_time = now - flow.opened_at;
     }
-    note_packet(steering, directory, flow, packet, now);
+    note_packet(steering, table, directory, flow, packet, now);
     // A second target that answered late must not draw the flow to itself.
     const bool is_settled =
         flow.placements > 1 && directory.targets[flow.target].record.key == flow.key;
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -158,6 +158,7 @@
     const target_index* best = nullptr;
     const target_index* trial = nullptr;
     bool has_full = false;
+    service_load load{.instances = choice.instances};
     double best_cost = std::numeric_limits<double>::max();
     for (const target_index& place : places)
     {
@@ -171,6 +172,11 @@
         const bool is_doubtful =
             is_suspect(evidence) ||
             is_data_centre_suspect(choice, target.record.data_centre);
+        if (!is_doubtful)
+        {
+            load.busy += evidence.busy;
+            load.slots += target.record.slots;
+        }
         if (request.is_patient && !is_doubtful && !is_avoided &&
             is_full(target, evidence))
         {
@@ -200,6 +206,11 @@
         return trial;
     }
     const bool is_only_doubtful = best_cost >= suspect_cost;
+    if (request.is_patient && best != nullptr && !is_only_doubtful &&
+        !has_room(choice.limits[request.service], load))
+    {
+        return nullptr;
+    }
     return has_full && is_only_doubtful ? nullptr : best;
 }
 
@@ -244,10 +255,16 @@
     }
 }
 
-void note_served(target_evidence& target, duration time)
+void note_served(target_choice& choice, const target_directory& directory,
+                 target_index place, duration time, duration goal, time_point now)
 {
+    target_evidence& target = evidence_of(choice, directory, place);
     target.service_ms =
         smoothed(target.service_ms, milliseconds_of(time), service_smoothing);
+    const service_id service = directory.targets[place].record.service;
+    const auto way = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(choice.opening_ms));
+    note_request_time(choice.limits[service], time - std::min(time, way), goal, now);
 }
 
 } // namespace kumquatpath
--- a/test/decision/flow_steering_test.cpp
+++ b/test/decision/flow_steering_test.cpp
@@ -222,3 +222,54 @@
     UNSIGNED_LONGS_EQUAL(0, steering.choice.evidence[0].busy +
                                 steering.choice.evidence[1].busy);
 }
+
+TEST(flow_steering, a_request_is_load_until_its_answer_and_not_while_the_flow_rests)
+{
+    const std::uint16_t flow = next_flow;
+    const target_index target = open();
+    flow_packet request = continuation(flow, directory.targets[target].token);
+    request.has_payload = true;
+    give(request);
+    now += 70ms;
+    give(continuation(flow, directory.targets[target].token));
+    CHECK_EQUAL_TEXT(0U, steering.choice.evidence[target].busy, "answered");
+    DOUBLES_EQUAL(70, steering.choice.evidence[target].service_ms, 0.001);
+    now += 10s;
+    give(request);
+    CHECK_EQUAL_TEXT(1U, steering.choice.evidence[target].busy, "asked again");
+    now += 70ms;
+    give(continuation(flow, directory.targets[target].token));
+    DOUBLES_EQUAL(70, steering.choice.evidence[target].service_ms, 0.001);
+}
+
+TEST(flow_steering, openings_wait_while_requests_take_most_of_their_latency_goal)
+{
+    table.routes.begin()->second.latency_goal = 100ms;
+    for (std::uint64_t key = 3; key < 40; ++key)
+    {
+        add(key, north);
+    }
+    steering.choice.instances = 40;
+    std::vector<std::pair<std::uint16_t, flow_token>> asked;
+    bool has_waited = false;
+    for (int i = 0; i < 400 && !has_waited; ++i)
+    {
+        const std::uint16_t flow = next_flow++;
+        const steering_decision placed = give(opening(flow));
+        has_waited = i > 100 && placed.verdict == steering_verdict::wait;
+        if (placed.verdict == steering_verdict::forward)
+        {
+            flow_packet request = continuation(flow, placed.token);
+            request.has_payload = true;
+            give(request);
+            asked.emplace_back(flow, placed.token);
+        }
+        now += 10ms;
+        if (asked.size() > 9)
+        {
+            give(ending(asked.front().first, asked.front().second));
+            asked.erase(asked.begin());
+        }
+    }
+    CHECK_TRUE_TEXT(has_waited, "answers take 90 ms of 100 ms, with many slots free");
+}
