Look at waiting openings only when there is room for one

Change: next_waiting finds the next opening without sorting, and the room is looked at when a request was answered or given up, and at each tick. Same order as before.

--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -320,19 +320,18 @@
         events_.after(caller_link, [this, held, flow] { attempt_failed(held, flow); });
         by.waiting_for.erase(flow);
     }
-    order_waiting(by.waiting, events_.now());
-    while (!by.waiting.openings.empty())
+    while (const auto place = next_waiting(by.waiting, {}, events_.now()))
     {
-        const flow_packet packet = by.waiting.openings.front().packet;
+        const flow_packet packet = by.waiting.openings[*place].packet;
         const steering_decision decision =
             steer(by.state.steering, table_, by.state.directory, packet, events_.now());
         if (decision.verdict != steering_verdict::forward)
         {
             return;
         }
+        take_waiting(by.waiting, *place);
         pass_on(number, decision.target, by.waiting_for[packet.flow.value], packet);
         by.waiting_for.erase(packet.flow.value);
-        by.waiting.openings.erase(by.waiting.openings.begin());
     }
 }
 
--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -120,6 +120,8 @@
     /// When packets of flows that were opened elsewhere came, and how many in that span.
     time_point strays_since;
     std::uint32_t strays = 0;
+    /// How many requests were answered or given up: each makes room for another.
+    std::uint64_t released = 0;
 };
 
 /// Decides what happens to \p packet.
--- a/include/kumquatpath/decision/waiting_room.hpp
+++ b/include/kumquatpath/decision/waiting_room.hpp
@@ -14,6 +14,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace kumquatpath
@@ -45,8 +46,13 @@
 /// one that had to make room, if any.
 std::optional<waiting_opening> add_waiting(waiting_room& room, waiting_opening opening);
 
-/// Puts the openings in the order in which they are to be placed at \p now.
-void order_waiting(waiting_room& room, time_point now);
+/// Returns the place of the opening that goes next, or nothing: the newest that can still
+/// be answered in time, else the newest. Those sent to a listener of \p full stay.
+std::optional<std::size_t> next_waiting(const waiting_room& room,
+                                        std::span<const endpoint> full, time_point now);
+
+/// Takes out the opening at \p place.
+waiting_opening take_waiting(waiting_room& room, std::size_t place);
 
 /// Takes out and returns the openings that their callers are about to give up.
 std::vector<waiting_opening> take_expired(waiting_room& room, time_point now);
--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -219,6 +219,7 @@
 void packet_duty::tick_now(time_point now)
 {
     tick(self_, now);
+    refuse_expired(now);
     place_waiting(now);
     send_beats(now);
     find_seeds(now);
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -65,6 +65,7 @@
                 std::string_view why, time_point now);
     void let_wait(const flow_packet& packet, const received_packet& received,
                   time_point now);
+    void refuse_expired(time_point now);
     void place_waiting(time_point now);
     void log_placement(const flow_packet& packet, const steering_decision& decision,
                        time_point now);
@@ -95,6 +96,8 @@
     boost::asio::steady_timer timer_;
     entry self_;
     waiting_room waiting_;
+    /// What flow_steering::released was when the waiting openings were last looked at.
+    std::uint64_t released_ = 0;
     instance_metrics metrics_;
     std::vector<std::byte> scratch_;
     std::vector<bool> were_suspect_;
--- a/src/daemon/packet_duty_flows.cpp
+++ b/src/daemon/packet_duty_flows.cpp
@@ -43,7 +43,11 @@
         may_have_more = batch.size() == udp_port::batch_size;
     }
     review_flows(self_.steering, self_.directory, now);
-    place_waiting(now);
+    if (self_.steering.released != released_)
+    {
+        released_ = self_.steering.released;
+        place_waiting(now);
+    }
 }
 
 void packet_duty::steer_packet(const received_packet& received, time_point now)
@@ -126,41 +130,34 @@
     }
 }
 
-void packet_duty::place_waiting(time_point now)
+void packet_duty::refuse_expired(time_point now)
 {
-    if (waiting_.openings.empty())
-    {
-        return;
-    }
     for (const waiting_opening& each : take_expired(waiting_, now))
     {
         refuse(each.packet, as_received(each), targets_full, now);
     }
-    order_waiting(waiting_, now);
+}
+
+void packet_duty::place_waiting(time_point now)
+{
     std::vector<endpoint> full;
-    std::erase_if(waiting_.openings,
-                  [&](const waiting_opening& each)
-                  {
-                      if (std::find(full.begin(), full.end(), each.packet.listener) !=
-                          full.end())
-                      {
-                          return false;
-                      }
-                      const steering_decision decision =
-                          steer(self_.steering, *self_.configuration.table,
-                                self_.directory, each.packet, now);
-                      if (decision.verdict == steering_verdict::wait)
-                      {
-                          full.push_back(each.packet.listener);
-                          return false;
-                      }
-                      if (decision.verdict == steering_verdict::forward)
-                      {
-                          forward(as_received(each), decision);
-                      }
-                      log_placement(each.packet, decision, now);
-                      return true;
-                  });
+    while (const auto place = next_waiting(waiting_, full, now))
+    {
+        const flow_packet& packet = waiting_.openings[*place].packet;
+        const steering_decision decision = steer(
+            self_.steering, *self_.configuration.table, self_.directory, packet, now);
+        if (decision.verdict == steering_verdict::wait)
+        {
+            full.push_back(packet.listener);
+            continue;
+        }
+        const waiting_opening taken = take_waiting(waiting_, *place);
+        if (decision.verdict == steering_verdict::forward)
+        {
+            forward(as_received(taken), decision);
+        }
+        log_placement(taken.packet, decision, now);
+    }
     data_.flush();
 }
 
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -51,6 +51,7 @@
         return;
     }
     flow.is_busy = is_busy;
+    steering.released += is_busy ? 0U : 1U;
     target_evidence& evidence = evidence_of(steering.choice, directory, flow.target);
     if (evidence.key != flow.key)
     {
--- a/src/decision/waiting_room.cpp
+++ b/src/decision/waiting_room.cpp
@@ -52,11 +52,29 @@
     return displaced;
 }
 
-void order_waiting(waiting_room& room, time_point now)
+std::optional<std::size_t> next_waiting(const waiting_room& room,
+                                        std::span<const endpoint> full, time_point now)
 {
-    std::sort(room.openings.begin(), room.openings.end(),
-              [&](const waiting_opening& left, const waiting_opening& right)
-              { return goes_before(left, right, now); });
+    std::optional<std::size_t> best;
+    for (std::size_t place = 0; place < room.openings.size(); ++place)
+    {
+        const waiting_opening& each = room.openings[place];
+        const bool is_first = !best || goes_before(each, room.openings[*best], now);
+        if (is_first &&
+            std::find(full.begin(), full.end(), each.packet.listener) == full.end())
+        {
+            best = place;
+        }
+    }
+    return best;
+}
+
+waiting_opening take_waiting(waiting_room& room, std::size_t place)
+{
+    std::swap(room.openings[place], room.openings.back());
+    waiting_opening taken = std::move(room.openings.back());
+    room.openings.pop_back();
+    return taken;
 }
 
 std::vector<waiting_opening> take_expired(waiting_room& room, time_point now)
--- a/test/decision/waiting_room_test.cpp
+++ b/test/decision/waiting_room_test.cpp
@@ -23,9 +23,11 @@
                            .in_time_until = now + time_left});
     }
 
-    std::uint16_t place(std::size_t index)
+    /// Takes out the next opening and returns its flow; 0: none may go.
+    std::uint16_t take_next(std::span<const endpoint> full = {})
     {
-        return room.openings[index].packet.caller.port;
+        const auto place = next_waiting(room, full, now);
+        return place ? take_waiting(room, *place).packet.caller.port : std::uint16_t{0};
     }
 };
 
@@ -34,10 +36,18 @@
     add(1, 600ms, -400ms);
     add(2, 100ms, 50ms);
     add(3, 0ms, 150ms);
-    order_waiting(room, now);
-    UNSIGNED_LONGS_EQUAL(3, place(0));
-    UNSIGNED_LONGS_EQUAL(2, place(1));
-    UNSIGNED_LONGS_EQUAL(1, place(2));
+    UNSIGNED_LONGS_EQUAL(3, take_next());
+    UNSIGNED_LONGS_EQUAL(2, take_next());
+    UNSIGNED_LONGS_EQUAL(1, take_next());
+    UNSIGNED_LONGS_EQUAL_TEXT(0, take_next(), "nothing waits any more");
+}
+
+TEST(waiting_room, openings_of_a_full_service_stay_and_hold_up_no_others)
+{
+    add(1, 0ms, 150ms);
+    const endpoint full[] = {web_listener};
+    UNSIGNED_LONGS_EQUAL(0, take_next(full));
+    UNSIGNED_LONGS_EQUAL(1, room.openings.size());
 }
 
 TEST(waiting_room, a_copy_takes_the_place_of_the_opening_and_keeps_its_age)
