Give each listener its share while openings wait

Cause: in a flood of one kind the others were late with it: of what waited the newest went first, and most of it was of the flood. Change: of the openings that can still be in time the listener that has had least in the last second or so goes first.

--- a/include/kumquatpath/decision/waiting_room.hpp
+++ b/include/kumquatpath/decision/waiting_room.hpp
@@ -7,8 +7,9 @@
 /// After an outage, or in a flood, more comes than the targets can work on, and what
 /// waits in their queues makes everything late. So it waits here, where the newest
 /// openings that can still be answered within their latency goal go first and those that
-/// are late already take what is left. An opening that its caller is about to give up is
-/// refused: it has not run, and the caller may try again.
+/// are late already take what is left. Of several listeners the one that has had the
+/// least goes first, so a flood at one leaves the others their share. An opening that its
+/// caller is about to give up is refused: it has not run, and the caller may try again.
 
 #include <kumquatpath/decision/flow_steering.hpp>
 
@@ -36,18 +37,31 @@
     time_point in_time_until;
 };
 
+/// What a listener has had lately: the flows placed, older ones counting less.
+struct placed_share
+{
+    double flows = 0;
+    time_point counted_at;
+};
+
 /// All openings that wait.
 struct waiting_room
 {
     std::vector<waiting_opening> openings;
+    /// By the listener's packed address.
+    boost::unordered_flat_map<std::uint64_t, placed_share> shares;
 };
 
+/// Notes that a flow of \p listener was placed, with or without a wait.
+void note_placed(waiting_room& room, const endpoint& listener, time_point now);
+
 /// Lets \p opening wait. A copy of one that waits already takes its place. Returns the
 /// one that had to make room, if any.
 std::optional<waiting_opening> add_waiting(waiting_room& room, waiting_opening opening);
 
-/// Returns the place of the opening that goes next, or nothing: the newest that can still
-/// be answered in time, else the newest. Those sent to a listener of \p full stay.
+/// Returns the place of the opening that goes next, or nothing: one that can still be
+/// answered in time, else any; of the listener that has had the least, the newest. Those
+/// sent to a listener of \p full stay.
 std::optional<std::size_t> next_waiting(const waiting_room& room,
                                         std::span<const endpoint> full, time_point now);
 
--- a/src/daemon/packet_duty_flows.cpp
+++ b/src/daemon/packet_duty_flows.cpp
@@ -72,6 +72,10 @@
     {
         forward(received, decision);
     }
+    if (decision.is_placement)
+    {
+        note_placed(waiting_, packet->listener, now);
+    }
     if (decision.verdict == steering_verdict::wait)
     {
         let_wait(*packet, received, now);
@@ -154,6 +158,7 @@
         const waiting_opening taken = take_waiting(waiting_, *place);
         if (decision.verdict == steering_verdict::forward)
         {
+            note_placed(waiting_, taken.packet.listener, now);
             forward(as_received(taken), decision);
         }
         log_placement(taken.packet, decision, now);
--- a/src/decision/waiting_room.cpp
+++ b/src/decision/waiting_room.cpp
@@ -1,6 +1,8 @@
 #include <kumquatpath/decision/waiting_room.hpp>
 
 #include <algorithm>
+#include <cmath>
+#include <compare>
 #include <iterator>
 
 namespace kumquatpath
@@ -11,19 +13,32 @@
 /// A caller gives up an opening that nobody answers a little later than this.
 constexpr duration longest_wait = std::chrono::milliseconds(1300);
 
-/// Returns whether \p left is to be placed before \p right.
-bool goes_before(const waiting_opening& left, const waiting_opening& right,
-                 time_point now)
+/// The time in which what a listener has had comes to count a third.
+constexpr duration share_memory = std::chrono::seconds(1);
+
+/// Returns what \p listener has had by \p now.
+double share_of(const waiting_room& room, const endpoint& listener, time_point now)
 {
-    const bool is_left_in_time = now <= left.in_time_until;
-    const bool is_right_in_time = now <= right.in_time_until;
-    if (is_left_in_time != is_right_in_time)
+    const auto found = room.shares.find(pack(listener));
+    if (found == room.shares.end())
     {
-        return is_left_in_time;
+        return 0;
     }
-    return left.begun > right.begun;
+    const double age = milliseconds_of(now - found->second.counted_at);
+    return found->second.flows * std::exp(-age / milliseconds_of(share_memory));
 }
 
+/// What decides which opening goes first: smaller goes before.
+struct waiting_rank
+{
+    bool is_late = false;
+    double share = 0;
+    /// Negative, so that the newest has the smallest.
+    duration minus_begun{0};
+
+    auto operator<=>(const waiting_rank&) const = default;
+};
+
 } // namespace
 
 std::optional<waiting_opening> add_waiting(waiting_room& room, waiting_opening opening)
@@ -52,18 +67,35 @@
     return displaced;
 }
 
+void note_placed(waiting_room& room, const endpoint& listener, time_point now)
+{
+    const double before = share_of(room, listener, now);
+    room.shares[pack(listener)] = {.flows = before + 1, .counted_at = now};
+}
+
 std::optional<std::size_t> next_waiting(const waiting_room& room,
                                         std::span<const endpoint> full, time_point now)
 {
+    boost::unordered_flat_map<std::uint64_t, double> shares;
     std::optional<std::size_t> best;
+    waiting_rank best_rank;
     for (std::size_t place = 0; place < room.openings.size(); ++place)
     {
         const waiting_opening& each = room.openings[place];
-        const bool is_first = !best || goes_before(each, room.openings[*best], now);
-        if (is_first &&
-            std::find(full.begin(), full.end(), each.packet.listener) == full.end())
+        const endpoint& listener = each.packet.listener;
+        if (std::find(full.begin(), full.end(), listener) != full.end())
+        {
+            continue;
+        }
+        const auto [share, is_new] = shares.try_emplace(pack(listener), 0);
+        share->second = is_new ? share_of(room, listener, now) : share->second;
+        const waiting_rank rank{.is_late = now > each.in_time_until,
+                                .share = share->second,
+                                .minus_begun = -each.begun.time_since_epoch()};
+        if (!best || rank < best_rank)
         {
             best = place;
+            best_rank = rank;
         }
     }
     return best;
--- a/test/decision/waiting_room_test.cpp
+++ b/test/decision/waiting_room_test.cpp
@@ -50,6 +50,39 @@
     UNSIGNED_LONGS_EQUAL(1, room.openings.size());
 }
 
+TEST(waiting_room, a_flood_at_one_listener_leaves_the_others_their_share)
+{
+    constexpr endpoint other_listener{.address = 0xc6120002, .port = 443};
+    for (int i = 0; i < 50; ++i)
+    {
+        note_placed(room, web_listener, now);
+    }
+    add(1, 0ms, 150ms);
+    waiting_opening other{
+        .packet = opening(2), .begun = now - 90ms, .in_time_until = now + 60ms};
+    other.packet.listener = other_listener;
+    add_waiting(room, std::move(other));
+    UNSIGNED_LONGS_EQUAL_TEXT(2, take_next(), "its listener has had nothing yet");
+    UNSIGNED_LONGS_EQUAL(1, take_next());
+}
+
+TEST(waiting_room, what_a_listener_has_had_long_ago_counts_no_more)
+{
+    constexpr endpoint other_listener{.address = 0xc6120002, .port = 443};
+    for (int i = 0; i < 50; ++i)
+    {
+        note_placed(room, web_listener, now);
+    }
+    now += 20s;
+    note_placed(room, other_listener, now);
+    waiting_opening other{
+        .packet = opening(2), .begun = now, .in_time_until = now + 60ms};
+    other.packet.listener = other_listener;
+    add_waiting(room, std::move(other));
+    add(1, 0ms, 150ms);
+    UNSIGNED_LONGS_EQUAL(1, take_next());
+}
+
 TEST(waiting_room, a_copy_takes_the_place_of_the_opening_and_keeps_its_age)
 {
     add(1, 0ms, 150ms);
