Remember drained targets instead of past sets of targets

Past sets of targets, kept as chains of differences, were needed while packets were steered by the set at their flow's opening; a packet names its target now, and nothing read them but the guard of removals. Change: the stored configuration keeps for each drained target the time since when; the guard (flows_at_risk) reads that. too_many_epochs and the codec of sets are gone, with the tests of their chains and bound; a change of targets is never refused for its frequency. Ruled out: dropping the guard too: open flows outlive a removed target's entry by 75 s only, and a service may say that its flows live for hours. A stored value of an earlier release is not read.

--- a/src/client/failure.cpp
+++ b/src/client/failure.cpp
@@ -89,17 +89,6 @@
     return report;
 }
 
-failure_report report_of(const too_many_epochs& failure)
-{
-    return {.kind = "too_many_epochs",
-            .message = "The targets of service \"" + failure.service +
-                       "\" changed too often: flows may rest on all of its past sets of "
-                       "targets.\nNothing was published. It can be done after " +
-                       to_utc(failure.free_at) + ".",
-            .details = {{"service", failure.service},
-                        {"free_at_ms", failure.free_at.time_since_epoch().count()}}};
-}
-
 failure_report report_of(const flows_at_risk& failure)
 {
     failure_report report{.kind = "flows_at_risk"};
@@ -238,7 +227,6 @@
         },
         [&](const configuration_faults& failure) { return told(failure); },
         [&](const edit_conflict& failure) { return told(failure); },
-        [&](const too_many_epochs& failure) { return told(failure); },
         [&](const flows_at_risk& failure) { return told(failure); },
         [&](const base_required& failure) { return told(failure); },
         [&](const unknown_object& failure) { return told(failure); },
--- a/src/client/publication.hpp
+++ b/src/client/publication.hpp
@@ -107,7 +107,7 @@
 /// Publishes \p edit on top of whatever is in force.
 ///
 /// Changes of others since the edit's base stay if they are to other objects; otherwise
-/// it fails with edit_conflict. Fails also with configuration_faults, too_many_epochs,
+/// it fails with edit_conflict. Fails also with configuration_faults,
 /// flows_at_risk, too_many_attempts and outcome_unknown, and with store_unreachable,
 /// store_timeout or store_malformed_answer when the edit was certainly not published.
 boost::leaf::result<publication> publish(key_value_store& store, const edit_options& edit,
