Let operators name a service's latency goal; tell requests apart by their ids

Cause: the limit of requests under way needs a latency goal, which only the platform's routes had; and packets of the own interface have no packet without work between two requests, so a flow of many requests would have counted as one long one. Change: services take latency_goal_ms (0: none); flow_packet carries the request's id where packets tell it, and another id ends the request before it, unless the caller has paused. Tests: the_next_request_of_a_flow_shows..., a_callers_pause..., a_latency_goal_is_optional...

--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -46,6 +46,7 @@
     bool is_end = false;
     bool has_payload = false;
     /// Only where packets tell them.
+    request_id request;
     tenant_id tenant;
     class_id traffic_class;
 };
@@ -89,6 +90,7 @@
     time_point answered_at;
     /// When the request was sent that has no answer yet; unset: none has.
     std::optional<time_point> asked_at;
+    request_id request;
     time_point last_seen;
     /// How many targets the opening was sent to.
     std::uint8_t placements = 1;
--- a/include/kumquatpath/model/configuration.hpp
+++ b/include/kumquatpath/model/configuration.hpp
@@ -64,6 +64,8 @@
     /// The longest time that a flow is expected to stay open; a target that takes no new
     /// flows may hold open ones for so long.
     std::chrono::seconds flow_lifetime{3600};
+    /// The time within which an answer is of full use; 0 means none is told.
+    std::chrono::milliseconds latency_goal{0};
     /// New requests a second that the service takes over the whole fleet; 0 means no
     /// limit.
     std::uint32_t requests_per_second = 0;
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -185,30 +185,45 @@
     note_answered(steering.choice, directory, by, flow.placed_at, now);
 }
 
-/// Notes the requests and answers of \p flow: a request is a packet with work, and the
-/// caller's next packet without any acknowledges the answer.
+/// Notes that the request of \p flow has its answer.
+void note_answered_request(flow_steering& steering, const routing_table& table,
+                           const target_directory& directory, seen_flow& flow,
+                           const endpoint& listener, time_point now)
+{
+    const route* const chosen = find_route(table, listener);
+    const duration goal = chosen == nullptr ? duration(0) : chosen->latency_goal;
+    if (evidence_of(steering.choice, directory, flow.target).key == flow.key)
+    {
+        note_served(steering.choice, directory, flow.target, now - *flow.asked_at, goal,
+                    now);
+    }
+    flow.asked_at.reset();
+    set_busy(steering, directory, flow, false);
+}
+
+/// Notes the requests and answers of \p flow: a request is a packet with work; the
+/// caller's next packet without any, or with another request, acknowledges the answer.
 void note_packet(flow_steering& steering, const routing_table& table,
                  const target_directory& directory, seen_flow& flow,
                  const flow_packet& packet, time_point now)
 {
     flow.last_seen = now;
+    const bool is_another = packet.has_payload && packet.request != flow.request;
+    if (is_another && !flow.is_busy)
+    {
+        // The caller has paused: when the answer came is not known.
+        flow.asked_at.reset();
+    }
+    if (flow.asked_at && (is_another || !packet.has_payload))
+    {
+        note_answered_request(steering, table, directory, flow, packet.listener, now);
+    }
     if (packet.has_payload)
     {
         flow.asked_at = flow.asked_at.value_or(now);
+        flow.request = packet.request;
         set_busy(steering, directory, flow, true);
     }
-    else if (flow.asked_at)
-    {
-        const route* const chosen = find_route(table, packet.listener);
-        const duration goal = chosen == nullptr ? duration(0) : chosen->latency_goal;
-        if (evidence_of(steering.choice, directory, flow.target).key == flow.key)
-        {
-            note_served(steering.choice, directory, flow.target, now - *flow.asked_at,
-                        goal, now);
-        }
-        flow.asked_at.reset();
-        set_busy(steering, directory, flow, false);
-    }
     if (packet.is_end)
     {
         flow.is_ended = true;
--- a/src/edge/own_packet_format.cpp
+++ b/src/edge/own_packet_format.cpp
@@ -45,6 +45,7 @@
                        .is_opening = header.kind == packet_kind::open,
                        .is_end = header.kind == packet_kind::close,
                        .has_payload = !decoded->payload.empty(),
+                       .request = header.request,
                        .tenant = header.tenant,
                        .traffic_class = header.traffic_class};
 }
--- a/src/model/configured_state.cpp
+++ b/src/model/configured_state.cpp
@@ -17,11 +17,12 @@
             centre->state == administrative_state::draining);
 }
 
-std::uint32_t limit_of(const configuration& whole, service_id id)
+/// Returns the service \p id, or one without limits if there is none.
+service service_of(const configuration& whole, service_id id)
 {
     const auto found = std::find_if(whole.services.begin(), whole.services.end(),
                                     [&](const service& each) { return each.id == id; });
-    return found == whole.services.end() ? 0 : found->requests_per_second;
+    return found == whole.services.end() ? service{} : *found;
 }
 
 /// Connections that a target holds, by the requests that it works on at once.
@@ -45,10 +46,12 @@
     routing_table table{.generation = whole.generation};
     for (const listener& each : whole.listeners)
     {
+        const service serving = service_of(whole, each.service);
         table.routes.emplace(pack(each.address),
                              route{.name = each.name,
                                    .services = {{.service = each.service}},
-                                   .flows_per_second = limit_of(whole, each.service)});
+                                   .latency_goal = serving.latency_goal,
+                                   .flows_per_second = serving.requests_per_second});
     }
     for (const tenant& each : whole.tenants)
     {
--- a/src/model/document_reader.cpp
+++ b/src/model/document_reader.cpp
@@ -264,6 +264,8 @@
         entry.flow_lifetime = std::chrono::seconds(object.number(
             "flow_lifetime_s",
             {.least = 1, .most = longest_flow_lifetime_s, .fallback = fallback}));
+        entry.latency_goal = std::chrono::milliseconds(object.number(
+            "latency_goal_ms", {.most = longest_latency_goal_ms, .fallback = 0}));
         entry.requests_per_second =
             static_cast<std::uint32_t>(object.number("requests_per_second", rate_rule));
         whole_.services.push_back(std::move(entry));
--- a/src/model/document_schema.hpp
+++ b/src/model/document_schema.hpp
@@ -18,6 +18,7 @@
 inline constexpr std::uint64_t most_connections = 1'000'000;
 inline constexpr std::uint64_t most_requests_per_second = 10'000'000;
 inline constexpr std::uint64_t longest_flow_lifetime_s = 604'800;
+inline constexpr std::uint64_t longest_latency_goal_ms = 600'000;
 inline constexpr std::uint64_t longest_deadline_ms = 600'000;
 inline constexpr std::uint64_t lowest_priority = std::numeric_limits<std::uint8_t>::max();
 inline constexpr std::uint64_t largest_id = std::numeric_limits<std::uint16_t>::max();
@@ -35,6 +36,7 @@
 inline constexpr std::array target_keys = {key("address"), key("data_centre"),
                                            key("state"), key("connections")};
 inline constexpr std::array service_keys = {key("pool"), key("flow_lifetime_s"),
+                                            key("latency_goal_ms"),
                                             key("requests_per_second")};
 inline constexpr std::array listener_keys = {key("address"), key("kind"), key("service")};
 inline constexpr std::array tenant_keys = {key("id"), key("requests_per_second")};
--- a/test/decision/flow_steering_test.cpp
+++ b/test/decision/flow_steering_test.cpp
@@ -242,6 +242,38 @@
     DOUBLES_EQUAL(70, steering.choice.evidence[target].service_ms, 0.001);
 }
 
+TEST(flow_steering, the_next_request_of_a_flow_shows_that_the_one_before_was_answered)
+{
+    const std::uint16_t flow = next_flow;
+    const target_index target = open();
+    flow_packet request = continuation(flow, directory.targets[target].token);
+    request.has_payload = true;
+    for (std::uint64_t number = 1; number < 4; ++number)
+    {
+        request.request = {number};
+        give(request);
+        now += 30ms;
+        give(request);
+        now += 30ms;
+    }
+    DOUBLES_EQUAL(60, steering.choice.evidence[target].service_ms, 0.001);
+}
+
+TEST(flow_steering, a_callers_pause_between_requests_is_no_service_time)
+{
+    const std::uint16_t flow = next_flow;
+    const target_index target = open();
+    flow_packet request = continuation(flow, directory.targets[target].token);
+    request.has_payload = true;
+    request.request = {1};
+    give(request);
+    now += 9s;
+    review_flows(steering, directory, now);
+    request.request = {2};
+    give(request);
+    DOUBLES_EQUAL(0, steering.choice.evidence[target].service_ms, 0.001);
+}
+
 TEST(flow_steering, openings_wait_while_requests_take_most_of_their_latency_goal)
 {
     table.routes.begin()->second.latency_goal = 100ms;
--- a/test/model/configuration_check_test.cpp
+++ b/test/model/configuration_check_test.cpp
@@ -185,3 +185,13 @@
         CHECK_TRUE(remedy(each).find('$') == std::string::npos);
     }
 }
+
+TEST(configuration_check, a_latency_goal_is_optional_and_bounded)
+{
+    CHECK_TRUE(faults_in(document).empty());
+    at(document, "services", "s", "latency_goal_ms") = 250;
+    CHECK_TRUE(faults_in(document).empty());
+    at(document, "services", "s", "latency_goal_ms") = 600'001;
+    STRCMP_EQUAL("out_of_range /services/s/latency_goal_ms 600001 \n",
+                 lines_of(faults_in(document)).c_str());
+}
