Tell no loads in beats, and beat four times less at home

Cause: loads were told every 100 ms in a data centre to keep its instances from filling the same targets; the limit by measured times does that now without any message.

--- a/include/kumquatpath/decision/entry.hpp
+++ b/include/kumquatpath/decision/entry.hpp
@@ -73,8 +73,8 @@
 /// Returns what a peer that asked lacks.
 state_reply reply_to(const entry& self, const state_request& request);
 
-/// Returns the sign of life for peers; with \p has_loads, the load of each target too.
-fleet_beat make_beat(const entry& self, bool has_loads, time_point now);
+/// Returns the sign of life for peers.
+fleet_beat make_beat(const entry& self, time_point now);
 
 // Commands.
 
--- a/include/kumquatpath/decision/fleet_peers.hpp
+++ b/include/kumquatpath/decision/fleet_peers.hpp
@@ -43,7 +43,6 @@
     state_revision position;
     state_revision configuration;
     state_freshness freshness;
-    std::vector<target_load_report> loads;
 };
 
 /// What one instance knows of the others.
--- a/include/kumquatpath/decision/target_choice.hpp
+++ b/include/kumquatpath/decision/target_choice.hpp
@@ -7,8 +7,7 @@
 /// An instance sees only what callers send. That is enough to judge a target: an opening
 /// that it answers is followed by the caller's next packet within a round trip, and an
 /// answered request by the caller's last one. A target that leaves openings unanswered is
-/// passed over until one is answered; requests without their answer are its load,
-/// together with what peers tell of theirs.
+/// passed over until one is answered; requests without their answer are its load.
 
 #include <kumquatpath/decision/concurrency_limit.hpp>
 #include <kumquatpath/decision/target_directory.hpp>
@@ -25,8 +24,6 @@
     std::uint64_t incarnation = 0;
     /// Flows that this instance sent there and that wait for an answer.
     std::uint32_t busy = 0;
-    /// The same of all peers, as last told.
-    std::uint32_t peers_busy = 0;
     /// When the newest opening that was answered had been sent.
     time_point answered_opening;
     /// Openings sent after the last answered one that are overdue.
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -82,7 +82,7 @@
     /// Tells all peers of the own data centre and some others at once.
     void tell_news(time_point now);
     void send_to_some(bool is_home, std::size_t most, time_point now);
-    void send_beat(const endpoint& to, bool has_loads, time_point now);
+    void send_beat(const endpoint& to, time_point now);
     void find_seeds(time_point now);
     void follow_state(time_point now);
     void watch_targets(time_point now);
--- a/src/daemon/packet_duty_flows.cpp
+++ b/src/daemon/packet_duty_flows.cpp
@@ -212,7 +212,6 @@
         fields["target"] =
             to_string(self_.directory.targets[decision.target].record.address);
         fields["busy"] = evidence.busy;
-        fields["peers_busy"] = evidence.peers_busy;
         fields["overdue"] = evidence.overdue;
     }
     log(log_level::info, "flow_placed", std::move(fields));
--- a/src/daemon/packet_duty_peers.cpp
+++ b/src/daemon/packet_duty_peers.cpp
@@ -11,9 +11,9 @@
 namespace
 {
 
-/// How often peers of the own data centre are told of the loads.
-constexpr duration home_beat_interval = std::chrono::milliseconds(100);
-/// How often other peers get a sign of life.
+/// How often some peers get a sign of life.
+constexpr duration home_beat_interval = std::chrono::milliseconds(400);
+constexpr duration home_beat_interval_of_large_fleet = std::chrono::milliseconds(100);
 constexpr duration far_beat_interval = std::chrono::milliseconds(400);
 constexpr duration far_beat_interval_of_large_fleet = std::chrono::milliseconds(1600);
 /// Peers that are told each time; in a large fleet they take turns.
@@ -55,7 +55,7 @@
     {
         log(log_level::info, "peer_heard",
             {{"peer", to_string(beat->address)}, {"position", beat->position.value}});
-        send_beat(beat->address, false, now);
+        send_beat(beat->address, now);
     }
 }
 
@@ -64,7 +64,8 @@
     const bool is_large_fleet = is_large(self_.fleet);
     if (now >= next_home_beat_)
     {
-        next_home_beat_ = now + home_beat_interval;
+        next_home_beat_ = now + (is_large_fleet ? home_beat_interval_of_large_fleet
+                                                : home_beat_interval);
         send_to_some(
             true, is_large_fleet ? home_beats_a_turn_of_large_fleet : home_beats_a_turn,
             now);
@@ -91,16 +92,16 @@
     std::size_t& next = is_home ? next_home_peer_ : next_far_peer_;
     for (std::size_t i = 0; i < std::min(most, candidates.size()); ++i)
     {
-        send_beat(candidates[next++ % candidates.size()], is_home, now);
+        send_beat(candidates[next++ % candidates.size()], now);
     }
 }
 
-void packet_duty::send_beat(const endpoint& to, bool has_loads, time_point now)
+void packet_duty::send_beat(const endpoint& to, time_point now)
 {
     ++self_.beats_sent;
     const fleet_message message{.sender = self_.fleet.self,
                                 .sequence = self_.beats_sent,
-                                .body = make_beat(self_, has_loads, now)};
+                                .body = make_beat(self_, now)};
     const std::vector<std::byte> bytes = encode_fleet(message, settings_.key);
     metrics_.control_bytes_sent += bytes.size();
     peers_.queue(to, bytes);
@@ -122,12 +123,12 @@
                         [&](const auto& peer) { return peer.second.address == seed; });
         if (!is_known)
         {
-            send_beat(seed, false, now);
+            send_beat(seed, now);
         }
     }
     for (const fleet_member& each : self_.fleet.strangers)
     {
-        send_beat(each.address, false, now);
+        send_beat(each.address, now);
     }
     self_.fleet.strangers.clear();
     peers_.flush();
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -17,7 +17,6 @@
 constexpr std::uint64_t patience_spread_ms = 600;
 constexpr duration upkeep_interval = std::chrono::milliseconds(500);
 constexpr std::size_t most_members_told = 8;
-constexpr std::size_t most_loads_told = 100;
 
 /// Notes that the shared state can be read as it was at \p as_of, after whatever outage.
 void note_contact(entry& self, time_point as_of, time_point now)
@@ -34,37 +33,6 @@
     self.fresh_at = self.fresh_at ? std::max(*self.fresh_at, as_of) : as_of;
 }
 
-void add_loads(entry& self, std::span<const target_load_report> loads, bool is_added)
-{
-    for (const target_load_report& each : loads)
-    {
-        const target_index* const place = find_by_token(self.directory, each.token);
-        if (place == nullptr)
-        {
-            continue;
-        }
-        std::uint32_t& sum =
-            evidence_of(self.steering.choice, self.directory, *place).peers_busy;
-        sum = is_added ? sum + each.busy : sum - std::min(sum, each.busy);
-    }
-}
-
-/// Sums the loads of all live peers anew, so that no error of a difference stays.
-void sum_loads(entry& self, time_point now)
-{
-    for (target_evidence& each : self.steering.choice.evidence)
-    {
-        each.peers_busy = 0;
-    }
-    for (const auto& [instance, peer] : self.fleet.peers)
-    {
-        if (is_live(self.fleet, peer, now))
-        {
-            add_loads(self, peer.loads, true);
-        }
-    }
-}
-
 /// Returns how many instances serve, with this one.
 std::uint32_t live_instances(const entry& self, time_point now)
 {
@@ -138,28 +106,18 @@
     return reply;
 }
 
-fleet_beat make_beat(const entry& self, bool has_loads, time_point now)
+fleet_beat make_beat(const entry& self, time_point now)
 {
-    fleet_beat beat{
-        .incarnation = self.incarnation,
-        .address = self.address,
-        .data_centre = self.fleet.home,
-        .is_leaving = self.leaving_since.has_value(),
-        .position = self.directory.position,
-        .configuration = self.configuration.revision,
-        .age = state_age(self, now),
-        .read_by = newest_freshness(self.fleet, self.directory.position).read_by,
-        .members = members_to_tell(self.fleet, most_members_told, self.beats_sent, now)};
-    const auto& evidence = self.steering.choice.evidence;
-    for (std::size_t i = 0; has_loads && i < evidence.size(); ++i)
-    {
-        if (evidence[i].busy > 0 && beat.loads.size() < most_loads_told)
-        {
-            beat.loads.push_back(
-                {.token = token_of(evidence[i].key), .busy = evidence[i].busy});
-        }
-    }
-    return beat;
+    return {.incarnation = self.incarnation,
+            .address = self.address,
+            .data_centre = self.fleet.home,
+            .is_leaving = self.leaving_since.has_value(),
+            .position = self.directory.position,
+            .configuration = self.configuration.revision,
+            .age = state_age(self, now),
+            .read_by = newest_freshness(self.fleet, self.directory.position).read_by,
+            .members =
+                members_to_tell(self.fleet, most_members_told, self.beats_sent, now)};
 }
 
 state_outcome take_changes(entry& self, std::span<const target_change> changes,
@@ -232,18 +190,7 @@
 beat_outcome take_beat(entry& self, const fleet_message& message, const fleet_beat& beat,
                        time_point now)
 {
-    const auto known = self.fleet.peers.find(message.sender);
-    const auto former = known == self.fleet.peers.end()
-                            ? std::vector<target_load_report>()
-                            : known->second.loads;
-    const beat_outcome outcome =
-        hear_beat(self.fleet, message.sender, message.sequence, beat, now);
-    if (!outcome.is_stale)
-    {
-        add_loads(self, former, false);
-        add_loads(self, beat.loads, true);
-    }
-    return outcome;
+    return hear_beat(self.fleet, message.sender, message.sequence, beat, now);
 }
 
 void tick(entry& self, time_point now)
@@ -259,7 +206,6 @@
         self.next_upkeep = now + upkeep_interval;
         forget_silent(self.fleet, now);
         self.steering.choice.instances = live_instances(self, now);
-        sum_loads(self, now);
         forget_gone(self.directory, now);
     }
 }
--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -175,8 +175,7 @@
             .is_leaving = beat.is_leaving,
             .heard_at = now,
             .position = beat.position,
-            .configuration = beat.configuration,
-            .loads = beat.loads};
+            .configuration = beat.configuration};
     if (beat.age != never_read)
     {
         peer.freshness = {.as_of = now - beat.age, .read_by = beat.read_by};
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -66,7 +66,7 @@
                const target_evidence& evidence, double mean_ms, time_point now)
 {
     const double slots = std::max(1U, target.record.slots);
-    const double load = (evidence.busy + evidence.peers_busy) / slots;
+    const double load = evidence.busy / slots;
     double cost = (1 + load) * slowness_of(evidence, mean_ms);
     cost *= is_cold(target, now) ? cold_factor : 1;
     cost += target.record.data_centre == choice.home ? 0 : remote_cost;
@@ -106,8 +106,7 @@
 
 bool is_full(const known_target& target, const target_evidence& evidence)
 {
-    return evidence.busy + evidence.peers_busy >=
-           full_by_slots * std::max(1U, target.record.slots);
+    return evidence.busy >= full_by_slots * std::max(1U, target.record.slots);
 }
 
 } // namespace
--- a/src/edge/fleet_codec.cpp
+++ b/src/edge/fleet_codec.cpp
@@ -59,25 +59,19 @@
 
     flatbuffers::Offset<void> operator()(const fleet_beat& beat)
     {
-        std::vector<wire::Load> loads;
-        for (const target_load_report& each : beat.loads)
-        {
-            loads.emplace_back(each.token.value, each.busy);
-        }
         std::vector<wire::Member> members;
         for (const fleet_member& each : beat.members)
         {
             members.emplace_back(pack(each.address), each.instance.value,
                                  each.data_centre.value);
         }
-        const auto loads_at = out.CreateVectorOfStructs(loads);
         const auto members_at = out.CreateVectorOfStructs(members);
         type = wire::FleetBody::Beat;
         return wire::CreateBeat(out, beat.incarnation, pack(beat.address),
                                 beat.data_centre.value, beat.is_leaving,
                                 beat.position.value, beat.configuration.value,
                                 static_cast<std::uint32_t>(beat.age.count()),
-                                beat.read_by.value, loads_at, members_at)
+                                beat.read_by.value, members_at)
             .Union();
     }
 
@@ -117,11 +111,6 @@
                     .configuration = {read.configuration()},
                     .age = std::chrono::milliseconds(read.age_ms()),
                     .read_by = {read.read_by()}};
-    for (unsigned i = 0; read.loads() != nullptr && i < read.loads()->size(); ++i)
-    {
-        const auto load = copied<wire::Load>(read.loads()->Get(i));
-        beat.loads.push_back({.token = {load.token()}, .busy = load.busy()});
-    }
     for (unsigned i = 0; read.members() != nullptr && i < read.members()->size(); ++i)
     {
         const auto member = copied<wire::Member>(read.members()->Get(i));
