Spread new flows evenly over targets that are about as fast

Change: a target within 1.2 times the mean counts as fast as the others; only slower ones count as slow. Test: targets_that_are_about_as_fast_get_about_as_many_flows fails before.

--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -24,7 +24,8 @@
 constexpr double remote_cost = 0.34;
 /// How much longer a target takes that has just started.
 constexpr double cold_factor = 1.6;
-constexpr double least_slowness = 0.6;
+/// A target within this factor of the others' mean is as fast as they are.
+constexpr double usual_slowness = 1.2;
 constexpr double most_slowness = 6;
 
 double smoothed(double old_value, double sample, double share)
@@ -58,7 +59,7 @@
     {
         return 1;
     }
-    return std::clamp(evidence.service_ms / mean_ms, least_slowness, most_slowness);
+    return std::clamp(evidence.service_ms / mean_ms / usual_slowness, 1.0, most_slowness);
 }
 
 /// Returns how long a flow would wait at \p target, in shares of a service time.
--- a/test/decision/flow_steering_test.cpp
+++ b/test/decision/flow_steering_test.cpp
@@ -3,6 +3,7 @@
 
 #include "entry_fixture.hpp"
 
+#include <map>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -305,3 +306,29 @@
     }
     CHECK_TRUE_TEXT(has_waited, "answers take 90 ms of 100 ms, with many slots free");
 }
+
+TEST(flow_steering, targets_that_are_about_as_fast_get_about_as_many_flows)
+{
+    for (std::uint64_t key = 3; key <= 10; ++key)
+    {
+        add(key, north);
+    }
+    std::map<target_index, int> placed;
+    for (int i = 0; i < 2000; ++i)
+    {
+        const std::uint16_t flow = next_flow;
+        const target_index target = open();
+        ++placed[target];
+        flow_packet request = continuation(flow, directory.targets[target].token);
+        request.has_payload = true;
+        give(request);
+        // Every other target is a tenth slower.
+        now += target % 2 == 0 ? 60ms : 66ms;
+        give(ending(flow, directory.targets[target].token));
+    }
+    for (const auto& [target, flows] : placed)
+    {
+        CHECK_TRUE_TEXT(flows > 150 && flows < 250, "an even share is 200");
+    }
+    UNSIGNED_LONGS_EQUAL(10, placed.size());
+}
