Pass over targets that answer too quickly to have worked

Change: an answer within a fifth of the service's mean is quick; a target whose share of quick answers is 0.15 above its peers' is passed over until that is forgotten (12 s to a third). If more than half of the answers are quick, or the mean is under 20 ms, nobody is judged. The mean and the judgement are made every 50 ms, no more for each flow. Logged as target_failing and target_working, and on the metrics page.

--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -30,12 +30,6 @@
     return {centre + 1};
 }
 
-duration from_ms(double time)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(time));
-}
-
 } // namespace
 
 struct fleet_model::request
@@ -184,7 +178,7 @@
 {
     const double gap_s =
         std::exponential_distribution<double>(options_.rate_each * factor_)(random_);
-    events_.after(from_ms(1000 * gap_s),
+    events_.after(from_milliseconds(1000 * gap_s),
                   [this, centre]
                   {
                       if (events_.now() >= ends_)
@@ -298,7 +292,7 @@
                     {.packet = packet,
                      .begun = events_.now() - packet.age,
                      .in_time_until = events_.now() - packet.age + options_.latency_goal -
-                                      from_ms(options_.work_ms)});
+                                      from_milliseconds(options_.work_ms)});
         by.waiting_for[packet.flow.value] = held;
         return;
     }
@@ -406,7 +400,7 @@
             std::log(options_.work_ms) - work_spread * work_spread / 2;
         const double time =
             std::lognormal_distribution<double>(log_mean, work_spread)(random_);
-        events_.after(from_ms(time),
+        events_.after(from_milliseconds(time),
                       [this, at, held = held, flow = flow]
                       {
                           --targets_[at].busy;
--- a/include/kumquatpath/decision/target_choice.hpp
+++ b/include/kumquatpath/decision/target_choice.hpp
@@ -9,6 +9,7 @@
 /// answered request by the caller's last one. A target that leaves openings unanswered is
 /// passed over until one is answered; requests without their answer are its load.
 
+#include <kumquatpath/decision/answer_counts.hpp>
 #include <kumquatpath/decision/concurrency_limit.hpp>
 #include <kumquatpath/decision/target_directory.hpp>
 
@@ -32,6 +33,21 @@
     time_point last_trial;
     /// Smoothed time from a request to its answer; 0: none seen.
     double service_ms = 0;
+    /// The answers that this instance saw.
+    answer_counts answers;
+    /// It answers so often too quickly that it can't have worked: it is passed over.
+    bool is_failing = false;
+};
+
+/// What the targets of one service have in common.
+struct service_evidence
+{
+    concurrency_limit limit;
+    /// Mean of the targets' times from a request to its answer; 0: none is known.
+    double mean_ms = 0;
+    /// Mean of the targets' shares of quick answers.
+    double quick_share = 0;
+    time_point summed_at;
 };
 
 /// What is seen of all targets of one data centre together: a cut shows there first.
@@ -58,8 +74,8 @@
     boost::unordered_flat_map<data_centre_id, data_centre_evidence,
                               std::hash<data_centre_id>>
         data_centres;
-    boost::unordered_flat_map<service_id, concurrency_limit, std::hash<service_id>>
-        limits;
+    boost::unordered_flat_map<service_id, service_evidence, std::hash<service_id>>
+        services;
     /// The instances that serve, this one among them.
     std::uint32_t instances = 1;
 };
--- a/include/kumquatpath/model/time.hpp
+++ b/include/kumquatpath/model/time.hpp
@@ -40,6 +40,13 @@
     return std::chrono::duration<double, std::milli>(time).count();
 }
 
+/// Returns the duration of \p time milliseconds.
+inline duration from_milliseconds(double time)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(time));
+}
+
 } // namespace kumquatpath
 
 #endif
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -55,8 +55,8 @@
         }
         out << "kumquatpath_target{target=\"" << std::hex << target.record.key.value
             << std::dec << "\",takes_flows=\"" << takes_new_flows(target, now)
-            << "\",suspect=\"" << is_suspect(evidence[i]) << "\"} " << evidence[i].busy
-            << "\n";
+            << "\",suspect=\"" << is_suspect(evidence[i]) << "\",failing=\""
+            << evidence[i].is_failing << "\"} " << evidence[i].busy << "\n";
     }
 }
 
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -31,6 +31,13 @@
     std::function<void(bool)> set_ready;
 };
 
+/// What is held against a target.
+struct target_mark
+{
+    bool is_suspect = false;
+    bool is_failing = false;
+};
+
 /// Owns the UDP ports and the entry. All of it belongs to the thread in run().
 class packet_duty
 {
@@ -100,7 +107,8 @@
     std::uint64_t released_ = 0;
     instance_metrics metrics_;
     std::vector<std::byte> scratch_;
-    std::vector<bool> were_suspect_;
+    /// What was logged last of each target.
+    std::vector<target_mark> marks_;
     bool is_asking_ = false;
     /// The peer that was asked and has not answered.
     instance_id last_asked_;
--- a/src/daemon/packet_duty_flows.cpp
+++ b/src/daemon/packet_duty_flows.cpp
@@ -14,7 +14,7 @@
 /// What a flow takes from its placement on; an opening that waits must leave as much.
 constexpr duration usual_flow_time = std::chrono::milliseconds(100);
 
-constexpr std::string_view targets_full = "every target is full";
+constexpr std::string_view too_much_under_way = "too much is under way";
 
 received_packet as_received(const waiting_opening& opening)
 {
@@ -113,7 +113,7 @@
                    .in_time_until = begun + found->latency_goal - usual_flow_time});
     if (displaced)
     {
-        refuse(displaced->packet, as_received(*displaced), targets_full, now);
+        refuse(displaced->packet, as_received(*displaced), too_much_under_way, now);
     }
 }
 
@@ -138,7 +138,7 @@
 {
     for (const waiting_opening& each : take_expired(waiting_, now))
     {
-        refuse(each.packet, as_received(each), targets_full, now);
+        refuse(each.packet, as_received(each), too_much_under_way, now);
     }
 }
 
@@ -217,31 +217,4 @@
     log(log_level::info, "flow_placed", std::move(fields));
 }
 
-void packet_duty::watch_targets(time_point now)
-{
-    const auto& evidence = self_.steering.choice.evidence;
-    were_suspect_.resize(evidence.size(), false);
-    for (std::size_t i = 0; i < evidence.size(); ++i)
-    {
-        const bool is_now = is_suspect(evidence[i]);
-        if (is_now == were_suspect_[i])
-        {
-            continue;
-        }
-        were_suspect_[i] = is_now;
-        boost::json::object fields = {
-            {"target", to_string(self_.directory.targets[i].record.address)},
-            {"overdue", evidence[i].overdue}};
-        if (evidence[i].answered_opening != time_point())
-        {
-            fields["last_answer_age_ms"] =
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    now - evidence[i].answered_opening)
-                    .count();
-        }
-        log(log_level::warning, is_now ? "target_suspect" : "target_trusted",
-            std::move(fields));
-    }
-}
-
 } // namespace kumquatpath
--- /dev/null
+++ b/src/daemon/packet_duty_targets.cpp
@@ -0,0 +1,61 @@
+#include "packet_duty.hpp"
+
+#include <kumquatpath/edge/log.hpp>
+
+namespace kumquatpath
+{
+namespace
+{
+
+void log_suspect(const known_target& target, const target_evidence& evidence,
+                 time_point now)
+{
+    boost::json::object fields = {{"target", to_string(target.record.address)},
+                                  {"overdue", evidence.overdue}};
+    if (evidence.answered_opening != time_point())
+    {
+        fields["last_answer_age_ms"] =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - evidence.answered_opening)
+                .count();
+    }
+    log(log_level::warning, is_suspect(evidence) ? "target_suspect" : "target_trusted",
+        std::move(fields));
+}
+
+void log_failing(const known_target& target, const target_evidence& evidence,
+                 double usual_share, time_point now)
+{
+    const answer_counts counts = faded(evidence.answers, now);
+    log(log_level::warning, evidence.is_failing ? "target_failing" : "target_working",
+        {{"target", to_string(target.record.address)},
+         {"quick_answers", counts.quick},
+         {"answers", counts.all},
+         {"usual_share", usual_share}});
+}
+
+} // namespace
+
+void packet_duty::watch_targets(time_point now)
+{
+    target_choice& choice = self_.steering.choice;
+    marks_.resize(choice.evidence.size());
+    for (std::size_t i = 0; i < marks_.size(); ++i)
+    {
+        const target_evidence& evidence = choice.evidence[i];
+        const known_target& target = self_.directory.targets[i];
+        if (is_suspect(evidence) != marks_[i].is_suspect)
+        {
+            marks_[i].is_suspect = is_suspect(evidence);
+            log_suspect(target, evidence, now);
+        }
+        if (evidence.is_failing != marks_[i].is_failing)
+        {
+            marks_[i].is_failing = evidence.is_failing;
+            log_failing(target, evidence,
+                        choice.services[target.record.service].quick_share, now);
+        }
+    }
+}
+
+} // namespace kumquatpath
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -247,9 +247,7 @@
 
 duration longest_silence(const target_evidence& evidence)
 {
-    const auto usual =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-            silence_in_flow_times * evidence.service_ms));
+    const duration usual = from_milliseconds(silence_in_flow_times * evidence.service_ms);
     return usual == duration(0) ? least_silence
                                 : std::clamp(usual, least_silence, most_silence);
 }
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -27,6 +27,9 @@
 /// A target within this factor of the others' mean is as fast as they are.
 constexpr double usual_slowness = 1.2;
 constexpr double most_slowness = 6;
+constexpr duration sum_interval = std::chrono::milliseconds(50);
+/// The share of a service's targets that may be passed over because they fail.
+constexpr double most_failing_share = 0.5;
 
 double smoothed(double old_value, double sample, double share)
 {
@@ -38,19 +41,38 @@
     return now < target.announced_at + target.record.warm_up_left;
 }
 
-/// Returns the mean service time of the targets at \p places; 0: none is known.
-double mean_service_ms(const target_choice& choice, std::span<const target_index> places)
+/// Sums up \p service, whose targets are at \p places, and judges which of them fail. If
+/// most do, the fault is not theirs alone and none is passed over.
+void sum_up(target_choice& choice, service_evidence& service,
+            std::span<const target_index> places, time_point now)
 {
-    double sum = 0;
-    double count = 0;
+    if (now < service.summed_at + sum_interval)
+    {
+        return;
+    }
+    service.summed_at = now;
+    double time = 0;
+    double timed = 0;
+    double share = 0;
+    double counted = 0;
+    for (const target_index place : places)
+    {
+        const target_evidence& evidence = choice.evidence[place];
+        const answer_counts answers = faded(evidence.answers, now);
+        time += evidence.service_ms;
+        timed += evidence.service_ms > 0 ? 1 : 0;
+        share += quick_share(answers);
+        counted += answers.all > 0 ? 1 : 0;
+    }
+    service.mean_ms = timed > 0 ? time / timed : 0;
+    service.quick_share = counted > 0 ? share / counted : 0;
     for (const target_index place : places)
     {
-        const double time =
-            place < choice.evidence.size() ? choice.evidence[place].service_ms : 0;
-        sum += time;
-        count += time > 0 ? 1 : 0;
+        target_evidence& evidence = choice.evidence[place];
+        evidence.is_failing =
+            service.quick_share <= most_failing_share &&
+            is_failing(faded(evidence.answers, now), service.quick_share);
     }
-    return count > 0 ? sum / count : 0;
 }
 
 double slowness_of(const target_evidence& evidence, double mean_ms)
@@ -119,9 +141,7 @@
 
 duration opening_patience(const target_choice& choice)
 {
-    const auto time =
-        std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(
-            patience_in_openings * choice.opening_ms));
+    const duration time = from_milliseconds(patience_in_openings * choice.opening_ms);
     return std::clamp(time, least_patience, most_patience);
 }
 
@@ -143,6 +163,8 @@
         evidence.incarnation = record.incarnation;
         evidence.overdue = 0;
         evidence.service_ms = 0;
+        evidence.answers = {};
+        evidence.is_failing = false;
     }
     return evidence;
 }
@@ -154,7 +176,9 @@
     constexpr double tie_breadth = 0.05;
     constexpr double suspect_cost = 1000;
     const std::span<const target_index> places = targets_of(directory, request.service);
-    const double mean_ms = mean_service_ms(choice, places);
+    service_evidence& service = choice.services[request.service];
+    choice.evidence.resize(std::max(choice.evidence.size(), directory.targets.size()));
+    sum_up(choice, service, places, now);
     const target_index* best = nullptr;
     const target_index* trial = nullptr;
     bool has_full = false;
@@ -169,9 +193,9 @@
         }
         const target_evidence& evidence = evidence_of(choice, directory, place);
         const bool is_avoided = request.avoided != nullptr && *request.avoided == place;
-        const bool is_doubtful =
-            is_suspect(evidence) ||
-            is_data_centre_suspect(choice, target.record.data_centre);
+        const bool is_silent = is_suspect(evidence) ||
+                               is_data_centre_suspect(choice, target.record.data_centre);
+        const bool is_doubtful = is_silent || evidence.is_failing;
         if (!is_doubtful)
         {
             load.busy += evidence.busy;
@@ -183,13 +207,13 @@
             has_full = true;
             continue;
         }
-        if (is_doubtful && is_trial_due(choice, target.record.data_centre, now) &&
+        if (is_silent && is_trial_due(choice, target.record.data_centre, now) &&
             (trial == nullptr ||
              evidence.last_trial < choice.evidence[*trial].last_trial))
         {
             trial = &place;
         }
-        const double cost = cost_of(choice, target, evidence, mean_ms, now) +
+        const double cost = cost_of(choice, target, evidence, service.mean_ms, now) +
                             tie_breadth * jitter(request.random, place) +
                             (is_avoided ? 2 * suspect_cost : 0) +
                             (is_doubtful ? suspect_cost : 0);
@@ -207,7 +231,7 @@
     }
     const bool is_only_doubtful = best_cost >= suspect_cost;
     if (request.is_patient && best != nullptr && !is_only_doubtful &&
-        !has_room(choice.limits[request.service], load))
+        !has_room(service.limit, load))
     {
         return nullptr;
     }
@@ -259,12 +283,14 @@
                  target_index place, duration time, duration goal, time_point now)
 {
     target_evidence& target = evidence_of(choice, directory, place);
+    service_evidence& service = choice.services[directory.targets[place].record.service];
+    const duration way = from_milliseconds(choice.opening_ms);
+    const duration own_time = time - std::min(time, way);
+    const duration usual = from_milliseconds(service.mean_ms);
     target.service_ms =
         smoothed(target.service_ms, milliseconds_of(time), service_smoothing);
-    const service_id service = directory.targets[place].record.service;
-    const auto way = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(choice.opening_ms));
-    note_request_time(choice.limits[service], time - std::min(time, way), goal, now);
+    count_answer(target.answers, is_quick(own_time, usual - std::min(usual, way)), now);
+    note_request_time(service.limit, own_time, goal, now);
 }
 
 } // namespace kumquatpath
--- a/test/decision/flow_steering_test.cpp
+++ b/test/decision/flow_steering_test.cpp
@@ -332,3 +332,53 @@
     }
     UNSIGNED_LONGS_EQUAL(10, placed.size());
 }
+
+TEST(flow_steering, a_target_that_fails_its_requests_at_once_draws_no_flows)
+{
+    add(3, north);
+    std::map<target_index, int> placed;
+    for (int i = 0; i < 300; ++i)
+    {
+        const std::uint16_t flow = next_flow;
+        const target_index target = open();
+        ++placed[target];
+        flow_packet request = continuation(flow, directory.targets[target].token);
+        request.has_payload = true;
+        give(request);
+        const bool is_failure = i >= 100 && target == 0;
+        now += is_failure ? 7ms : 66ms;
+        give(ending(flow, directory.targets[target].token));
+        if (i == 99)
+        {
+            placed.clear();
+        }
+    }
+    CHECK_TRUE_TEXT(placed[0] < 15, "a failing target gets a few flows of 200");
+}
+
+TEST(flow_steering, when_most_targets_fail_none_is_passed_over)
+{
+    add(3, north);
+    std::map<target_index, int> placed;
+    for (int i = 0; i < 300; ++i)
+    {
+        const std::uint16_t flow = next_flow;
+        const target_index target = open();
+        ++placed[target];
+        flow_packet request = continuation(flow, directory.targets[target].token);
+        request.has_payload = true;
+        give(request);
+        const bool is_failure = i >= 100 && target != 0;
+        now += is_failure ? 7ms : 66ms;
+        give(ending(flow, directory.targets[target].token));
+        if (i == 99)
+        {
+            now += 60s;
+        }
+        if (i == 199)
+        {
+            placed.clear();
+        }
+    }
+    CHECK_TRUE_TEXT(placed[0] < 60, "the one that works must not get everything");
+}
