--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint64_t patience_spread_ms = 600;
 constexpr duration upkeep_interval = std::chrono::milliseconds(500);
 constexpr std::size_t most_members_told = 8;
+/// Beats are many in a large fleet, so each may tell of few.
+constexpr std::size_t most_members_told_by_large_fleet = 3;
 
 /// Notes that the shared state can be read as it was at \p as_of, after whatever outage.
 void note_contact(entry& self, time_point as_of, time_point now)
@@ -117,7 +119,10 @@
             .age = state_age(self, now),
             .read_by = newest_freshness(self.fleet, self.directory.position).read_by,
             .members =
-                members_to_tell(self.fleet, most_members_told, self.beats_sent, now)};
+                members_to_tell(self.fleet,
+                                is_large(self.fleet) ? most_members_told_by_large_fleet
+                                                     : most_members_told,
+                                self.beats_sent, now)};
 }
 
 state_outcome take_changes(entry& self, std::span<const target_change> changes,
--- a/test/decision/entry_test.cpp
+++ b/test/decision/entry_test.cpp
@@ -3,6 +3,8 @@
 
 #include "entry_fixture.hpp"
 
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpath;
@@ -108,6 +110,27 @@
     CHECK_TRUE(make_beat(self, now).age == 700ms);
 }
 
+TEST(entry, in_a_large_fleet_beats_are_short_and_tell_of_everybody_in_turn)
+{
+    take_all(10);
+    for (std::uint32_t sender = 100; sender < 130; ++sender)
+    {
+        const fleet_beat beat{.incarnation = 1, .data_centre = north};
+        take_beat(self, {.sender = {sender}, .sequence = 1, .body = beat}, beat, now);
+    }
+    std::set<std::uint32_t> told;
+    for (self.beats_sent = 1; self.beats_sent <= 40; ++self.beats_sent)
+    {
+        const fleet_beat beat = make_beat(self, now);
+        CHECK_TRUE(beat.members.size() <= 3);
+        for (const fleet_member& each : beat.members)
+        {
+            told.insert(each.instance.value);
+        }
+    }
+    UNSIGNED_LONGS_EQUAL(30, told.size());
+}
+
 TEST(entry, in_a_large_fleet_others_are_asked_when_nobody_at_home_knows_more_for_a_while)
 {
     take_all(10);
