Raise the limit no faster than requests show the effect; log why openings wait

Change: after each change a request's time passes before the next. While openings wait, one line a second and service tells the limit and what decided it.

--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -224,6 +224,7 @@
     send_beats(now);
     find_seeds(now);
     watch_targets(now);
+    watch_limits(now);
     const bool is_reading = decide_reading(self_.fleet, self_.directory.position, now);
     if (is_reading != was_reading_)
     {
--- a/src/daemon/packet_duty.hpp
+++ b/src/daemon/packet_duty.hpp
@@ -93,6 +93,8 @@
     void find_seeds(time_point now);
     void follow_state(time_point now);
     void watch_targets(time_point now);
+    /// Logs why openings wait, if some do.
+    void watch_limits(time_point now);
 
     daemon_settings settings_;
     const packet_format& format_;
@@ -120,6 +122,7 @@
     time_point next_home_beat_;
     time_point next_far_beat_;
     time_point next_seeds_;
+    time_point next_limits_;
     time_point log_refill_;
     std::uint32_t log_allowance_ = 0;
     std::uint64_t logged_held_back_ = 0;
--- a/src/daemon/packet_duty_targets.cpp
+++ b/src/daemon/packet_duty_targets.cpp
@@ -34,8 +34,30 @@
          {"usual_share", usual_share}});
 }
 
+constexpr duration limits_interval = std::chrono::seconds(1);
+
 } // namespace
 
+void packet_duty::watch_limits(time_point now)
+{
+    if (now < next_limits_ || waiting_.openings.empty())
+    {
+        return;
+    }
+    next_limits_ = now + limits_interval;
+    for (const auto& [service, evidence] : self_.steering.choice.services)
+    {
+        log(log_level::info, "openings_wait",
+            {{"service", service.value},
+             {"waiting", waiting_.openings.size()},
+             {"under_way", evidence.limit.under_way},
+             {"limit", evidence.limit.most},
+             {"least", evidence.limit.least},
+             {"goal_share", evidence.limit.goal_share},
+             {"mean_ms", evidence.mean_ms}});
+    }
+}
+
 void packet_duty::watch_targets(time_point now)
 {
     target_choice& choice = self_.steering.choice;
--- a/src/decision/concurrency_limit.cpp
+++ b/src/decision/concurrency_limit.cpp
@@ -59,14 +59,14 @@
         const double factor = std::max(least_factor, wanted_share / limit.goal_share);
         const double used = std::min(limit.most, limit.under_way + 1.0);
         limit.is_starting = false;
-        // What is under way now was placed by the old limit: it must end first.
+        // What is under way was placed by the old limit: it must end first.
         change(limit, std::max(limit.least, used * factor), time, now);
     }
     else if (limit.was_reached)
     {
         const double grown =
             limit.most * (limit.is_starting ? starting_growth : growth) + 1;
-        change(limit, std::min(most_requests, grown), duration(0), now);
+        change(limit, std::min(most_requests, grown), time, now);
     }
 }
 
--- a/test/decision/concurrency_limit_test.cpp
+++ b/test/decision/concurrency_limit_test.cpp
@@ -82,3 +82,12 @@
     }
     DOUBLES_EQUAL(before, limit.most, 0);
 }
+
+TEST(concurrency_limit, grows_no_faster_than_requests_show_the_effect)
+{
+    limit.is_starting = false;
+    limit.most = 10;
+    answer(10, 90ms, {.busy = 1000, .slots = 42, .instances = 7});
+    CHECK_TRUE_TEXT(limit.most < 10 * 1.1 * 1.1 + 4,
+                    "100 ms are two changes at the most");
+}
