Hold a target to fail only after three quick answers; never most of them

The test of most targets failing found that counts which fade let the bound by shares be passed. Change: 0.1 of the mean, three quick answers; if more than half of a service's targets would be passed over, none is.

--- a/src/decision/answer_counts.cpp
+++ b/src/decision/answer_counts.cpp
@@ -9,10 +9,10 @@
 
 /// The time in which an answer comes to count a third.
 constexpr duration memory = std::chrono::seconds(12);
-constexpr double quick_part = 0.2;
+constexpr double quick_part = 0.1;
 /// Shorter times can't be told apart.
-constexpr duration least_usual = std::chrono::milliseconds(20);
-constexpr double least_quick = 1.8;
+constexpr duration least_usual = std::chrono::milliseconds(30);
+constexpr double least_quick = 2.6;
 constexpr double share_above_usual = 0.15;
 
 } // namespace
--- a/src/decision/target_choice.cpp
+++ b/src/decision/target_choice.cpp
@@ -66,12 +66,20 @@
     }
     service.mean_ms = timed > 0 ? time / timed : 0;
     service.quick_share = counted > 0 ? share / counted : 0;
+    std::size_t failing = 0;
     for (const target_index place : places)
     {
         target_evidence& evidence = choice.evidence[place];
         evidence.is_failing =
-            service.quick_share <= most_failing_share &&
             is_failing(faded(evidence.answers, now), service.quick_share);
+        failing += evidence.is_failing ? 1U : 0U;
+    }
+    if (static_cast<double>(failing) > most_failing_share * counted)
+    {
+        for (const target_index place : places)
+        {
+            choice.evidence[place].is_failing = false;
+        }
     }
 }
 
