--- a/bench/fleet_model.cpp
+++ b/bench/fleet_model.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <memory>
-#include <set>
 
 namespace kumquatpath::bench
 {
@@ -12,7 +11,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration caller_link = milliseconds(3);
 constexpr duration target_link = std::chrono::microseconds(500);
 constexpr duration window_length = std::chrono::seconds(2);
 constexpr duration opening_lifetime = milliseconds(1400);
@@ -21,7 +19,6 @@
 constexpr duration beat_interval = milliseconds(400);
 constexpr milliseconds longest_restart{400};
 constexpr endpoint listener_address{.address = 0xc6120001, .port = 443};
-constexpr double work_spread = 0.5;
 
 const service_id served = id_of<service_id>("modelled");
 
@@ -32,18 +29,6 @@
 
 } // namespace
 
-struct fleet_model::request
-{
-    std::uint32_t centre = 0;
-    time_point begun;
-    std::uint32_t attempts = 0;
-    /// The flow of the present attempt; packets of earlier ones count no more.
-    std::uint64_t flow = 0;
-    bool is_open = false;
-    bool is_over = false;
-    flow_token token;
-};
-
 fleet_model::fleet_model(const model_options& options)
     : options_(options), random_(options.seed)
 {
@@ -75,10 +60,8 @@
     each.is_up = true;
     each.waiting = {};
     each.waiting_for.clear();
-    each.state = make_entry({.self = {number + 1},
-                             .home = centre_id(each.centre),
-                             .incarnation = random_(),
-                             .started_at = events_.now()});
+    each.state = make_entry(
+        {.self = {number + 1}, .home = centre_id(each.centre), .incarnation = random_()});
     for (std::uint32_t i = 0; i < targets_.size(); ++i)
     {
         const target_record record{.key = {i + 1},
@@ -354,78 +337,6 @@
                   });
 }
 
-void fleet_model::open_at(std::uint32_t to, const request_at& held, std::uint64_t flow)
-{
-    events_.after(caller_link, [this, to, held, flow] { opened(to, held, flow); });
-}
-
-void fleet_model::opened(std::uint32_t by, const request_at& held, std::uint64_t flow)
-{
-    if (held->flow != flow || held->is_open || held->is_over)
-    {
-        return;
-    }
-    held->is_open = true;
-    held->token = token_of({by + 1});
-    send(held, {.flow = {flow}, .token = held->token, .has_payload = true});
-}
-
-void fleet_model::work_at(std::uint32_t to, const request_at& held, std::uint64_t flow)
-{
-    target& at = targets_[to];
-    if (at.is_dead)
-    {
-        return;
-    }
-    if (at.queue.size() >= options_.queue)
-    {
-        events_.after(caller_link, [this, held, flow] { attempt_failed(held, flow); });
-        send(held, {.flow = {flow}, .token = held->token, .is_end = true});
-        return;
-    }
-    at.queue.emplace_back(held, flow);
-    start_work(to);
-}
-
-void fleet_model::start_work(std::uint32_t at)
-{
-    target& by = targets_[at];
-    while (by.busy < options_.slots && !by.queue.empty())
-    {
-        const auto [held, flow] = by.queue.front();
-        by.queue.pop_front();
-        ++by.busy;
-        ++by.ran;
-        const double log_mean =
-            std::log(options_.work_ms) - work_spread * work_spread / 2;
-        const double time =
-            std::lognormal_distribution<double>(log_mean, work_spread)(random_);
-        events_.after(from_milliseconds(time),
-                      [this, at, held = held, flow = flow]
-                      {
-                          --targets_[at].busy;
-                          if (!targets_[at].is_dead)
-                          {
-                              events_.after(caller_link,
-                                            [this, held, flow] { answered(held, flow); });
-                              start_work(at);
-                          }
-                      });
-    }
-}
-
-void fleet_model::answered(const request_at& held, std::uint64_t flow)
-{
-    send(held, {.flow = {flow}, .token = held->token, .is_end = true});
-    if (held->is_over || held->flow != flow)
-    {
-        return;
-    }
-    held->is_over = true;
-    const bool is_in_time = events_.now() <= held->begun + options_.latency_goal;
-    ++(is_in_time ? window_of(*held).in_time : window_of(*held).late);
-}
-
 void fleet_model::tick_regularly()
 {
     for (std::uint32_t number = 0; number < instances_.size(); ++number)
--- a/bench/fleet_model.hpp
+++ b/bench/fleet_model.hpp
@@ -36,6 +36,9 @@
     hashed,
 };
 
+/// The time of a packet between a caller and an instance or target.
+inline constexpr duration caller_link = std::chrono::milliseconds(3);
+
 /// What is modelled.
 struct model_options
 {
@@ -92,7 +95,18 @@
     double imbalance() const;
 
 private:
-    struct request;
+    /// One request of a caller, over all of its attempts.
+    struct request
+    {
+        std::uint32_t centre = 0;
+        time_point begun;
+        std::uint32_t attempts = 0;
+        /// The flow of the present attempt; packets of earlier ones count no more.
+        std::uint64_t flow = 0;
+        bool is_open = false;
+        bool is_over = false;
+        flow_token token;
+    };
 
     using request_at = std::shared_ptr<request>;
 
--- a/include/kumquatpath/decision/entry.hpp
+++ b/include/kumquatpath/decision/entry.hpp
@@ -45,7 +45,6 @@
     data_centre_id home;
     endpoint address;
     std::uint64_t incarnation = 0;
-    time_point started_at;
 };
 
 /// What came of a part of the shared state.
--- a/include/kumquatpath/decision/fleet_peers.hpp
+++ b/include/kumquatpath/decision/fleet_peers.hpp
@@ -57,7 +57,6 @@
     state_freshness own;
     /// It reads until this time although it is none of the first.
     time_point reads_until;
-    time_point started_at;
 };
 
 /// What a beat brought.
--- a/include/kumquatpath/model/configuration.hpp
+++ b/include/kumquatpath/model/configuration.hpp
@@ -101,7 +101,7 @@
 {
     class_id id;
     std::string name;
-    /// 0 is the most urgent; larger numbers are refused first.
+    /// 0 is the most urgent. No decision depends on it.
     std::uint8_t priority = 0;
     /// Whether a request may run more than once without harm.
     bool repeatable = false;
--- a/include/kumquatpath/model/routing_table.hpp
+++ b/include/kumquatpath/model/routing_table.hpp
@@ -32,10 +32,6 @@
     std::string name;
     /// At least one, each with a weight above 0.
     std::vector<weighted_service> services;
-    /// 0 is the most urgent.
-    std::uint32_t priority = 0;
-    /// Whether a request may run more than once without harm.
-    bool is_repeatable = false;
     /// The time within which an answer is of full use.
     std::chrono::milliseconds latency_goal{0};
     /// New flows a second that the service takes over the whole fleet; 0: no limit.
--- a/src/daemon/packet_duty.cpp
+++ b/src/daemon/packet_duty.cpp
@@ -20,8 +20,7 @@
     return make_entry({.self = id_of<instance_id>(settings.name),
                        .home = id_of<data_centre_id>(settings.data_centre),
                        .address = settings.peer,
-                       .incarnation = start,
-                       .started_at = monotonic_now()});
+                       .incarnation = start});
 }
 
 std::string_view to_string(state_failure failure)
--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -60,7 +60,6 @@
     entry self{.incarnation = options.incarnation, .address = options.address};
     self.fleet.self = options.self;
     self.fleet.home = options.home;
-    self.fleet.started_at = options.started_at;
     self.steering.choice.home = options.home;
     self.steering.random = mix(options.self.value, options.incarnation);
     return self;
--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -26,8 +26,6 @@
 constexpr std::chrono::milliseconds pause_of_large_fleet{700};
 /// How long an instance goes on reading that began because of a stale state.
 constexpr duration reading_term = std::chrono::seconds(3);
-/// How long an instance without any state waits for a peer to have one.
-constexpr duration patience_at_start = std::chrono::milliseconds(0);
 constexpr std::size_t most_strangers = 64;
 
 bool is_newer(const state_freshness& left, const state_freshness& right)
@@ -215,7 +213,7 @@
 {
     if (position.value == 0)
     {
-        return now >= fleet.started_at + patience_at_start;
+        return true;
     }
     if (is_appointed(fleet, now))
     {
--- a/test/decision/entry_test.cpp
+++ b/test/decision/entry_test.cpp
@@ -14,7 +14,7 @@
 TEST_GROUP(entry)
 {
     time_point now{100s};
-    entry self = make_entry({.self = {1}, .home = north, .started_at = now});
+    entry self = make_entry({.self = {1}, .home = north});
 
     shared_configuration configuration(std::uint64_t revision)
     {
--- a/test/decision/fleet_peers_test.cpp
+++ b/test/decision/fleet_peers_test.cpp
@@ -11,7 +11,7 @@
 TEST_GROUP(fleet_peers)
 {
     time_point now{100s};
-    fleet_peers fleet{.self = {50}, .home = {1}, .started_at = now};
+    fleet_peers fleet{.self = {50}, .home = {1}};
     std::uint64_t sequence = 0;
 
     fleet_beat beat_of(std::uint32_t instance, std::chrono::milliseconds age,
--- a/test/decision/flow_steering_test.cpp
+++ b/test/decision/flow_steering_test.cpp
@@ -3,6 +3,7 @@
 
 #include "entry_fixture.hpp"
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -57,6 +58,19 @@
         return target;
     }
 
+    /// Opens a flow whose request is answered after \p time; returns where it went.
+    target_index ask(const std::function<duration(target_index)>& time)
+    {
+        const std::uint16_t flow = next_flow;
+        const target_index target = open();
+        flow_packet request = continuation(flow, directory.targets[target].token);
+        request.has_payload = true;
+        give(request);
+        now += time(target);
+        give(ending(flow, directory.targets[target].token));
+        return target;
+    }
+
     /// Opens flows and lets time pass until the silence of \p silent shows.
     void let_time_pass_without_answers_of(std::set<target_index> silent)
     {
@@ -316,15 +330,8 @@
     std::map<target_index, int> placed;
     for (int i = 0; i < 2000; ++i)
     {
-        const std::uint16_t flow = next_flow;
-        const target_index target = open();
-        ++placed[target];
-        flow_packet request = continuation(flow, directory.targets[target].token);
-        request.has_payload = true;
-        give(request);
         // Every other target is a tenth slower.
-        now += target % 2 == 0 ? 60ms : 66ms;
-        give(ending(flow, directory.targets[target].token));
+        ++placed[ask([](target_index at) { return at % 2 == 0 ? 60ms : 66ms; })];
     }
     for (const auto& [target, flows] : placed)
     {
@@ -336,22 +343,14 @@
 TEST(flow_steering, a_target_that_fails_its_requests_at_once_draws_no_flows)
 {
     add(3, north);
+    for (int i = 0; i < 100; ++i)
+    {
+        ask([](target_index) { return 66ms; });
+    }
     std::map<target_index, int> placed;
-    for (int i = 0; i < 300; ++i)
+    for (int i = 0; i < 200; ++i)
     {
-        const std::uint16_t flow = next_flow;
-        const target_index target = open();
-        ++placed[target];
-        flow_packet request = continuation(flow, directory.targets[target].token);
-        request.has_payload = true;
-        give(request);
-        const bool is_failure = i >= 100 && target == 0;
-        now += is_failure ? 7ms : 66ms;
-        give(ending(flow, directory.targets[target].token));
-        if (i == 99)
-        {
-            placed.clear();
-        }
+        ++placed[ask([](target_index at) { return at == 0 ? 7ms : 66ms; })];
     }
     CHECK_TRUE_TEXT(placed[0] < 15, "a failing target gets a few flows of 200");
 }
@@ -359,26 +358,19 @@
 TEST(flow_steering, when_most_targets_fail_none_is_passed_over)
 {
     add(3, north);
+    for (int i = 0; i < 100; ++i)
+    {
+        ask([](target_index) { return 66ms; });
+    }
+    now += 60s;
     std::map<target_index, int> placed;
-    for (int i = 0; i < 500; ++i)
+    for (int i = 0; i < 400; ++i)
     {
-        const std::uint16_t flow = next_flow;
-        const target_index target = open();
-        ++placed[target];
-        flow_packet request = continuation(flow, directory.targets[target].token);
-        request.has_payload = true;
-        give(request);
-        const bool is_failure = i >= 100 && target != 0;
-        now += is_failure ? 7ms : 66ms;
-        give(ending(flow, directory.targets[target].token));
-        if (i == 99)
-        {
-            now += 60s;
-        }
-        if (i == 399)
+        if (i == 300)
         {
             placed.clear();
         }
+        ++placed[ask([](target_index at) { return at != 0 ? 7ms : 66ms; })];
     }
     CHECK_TRUE_TEXT(placed[0] < 60, "the one that works must not get everything");
 }
--- a/test/platform/state_records_test.cpp
+++ b/test/platform/state_records_test.cpp
@@ -95,12 +95,12 @@
     UNSIGNED_LONGS_EQUAL(2, (*table)->routes.size());
     const route* const first = find_route(**table, {.address = 0xc6120001, .port = 8443});
     CHECK_TRUE(first != nullptr);
-    CHECK_TRUE(first->is_repeatable);
     CHECK_TRUE(first->latency_goal == 250ms);
     UNSIGNED_LONGS_EQUAL(1, first->services.size());
     const route* const second =
         find_route(**table, {.address = 0xc6120001, .port = 8080});
-    CHECK_FALSE(second->is_repeatable);
+    CHECK_TRUE(second != nullptr);
+    CHECK_TRUE_TEXT(second->latency_goal == 0ms, "the route tells none");
 }
 
 TEST(state_records, a_configuration_with_a_wrong_part_is_refused_whole)
