--- a/src/decision/entry.cpp
+++ b/src/decision/entry.cpp
@@ -200,6 +200,7 @@
 void tick(entry& self, time_point now)
 {
     review_flows(self.steering, self.directory, now);
+    self.steering.choice.instances = live_instances(self, now);
     const state_freshness newest = newest_freshness(self.fleet, self.directory.position);
     if (newest.as_of)
     {
@@ -209,7 +210,6 @@
     {
         self.next_upkeep = now + upkeep_interval;
         forget_silent(self.fleet, now);
-        self.steering.choice.instances = live_instances(self, now);
         forget_gone(self.directory, now);
     }
 }
--- a/test/decision/entry_test.cpp
+++ b/test/decision/entry_test.cpp
@@ -110,6 +110,18 @@
     CHECK_TRUE(make_beat(self, now).age == 700ms);
 }
 
+TEST(entry, shares_the_targets_with_a_peer_from_the_tick_on_that_follows_its_beat)
+{
+    take_all(10);
+    tick(self, now);
+    UNSIGNED_LONGS_EQUAL(1, self.steering.choice.instances);
+    now += 50ms;
+    const fleet_beat beat{.incarnation = 1, .data_centre = north};
+    take_beat(self, {.sender = {2}, .sequence = 1, .body = beat}, beat, now);
+    tick(self, now);
+    UNSIGNED_LONGS_EQUAL(2, self.steering.choice.instances);
+}
+
 TEST(entry, in_a_large_fleet_beats_are_short_and_tell_of_everybody_in_turn)
 {
     take_all(10);
