Let a limit that starts double every 100 ms, not every 60

Cause: the same logs: three doublings come before the first slow answers are back, as the quick ones come first. Change: at least 100 ms between two changes.

--- a/src/decision/concurrency_limit.cpp
+++ b/src/decision/concurrency_limit.cpp
@@ -17,7 +17,7 @@
 constexpr double growth = 1.1;
 constexpr double starting_growth = 2;
 constexpr double most_requests = 100'000;
-constexpr duration least_pause = std::chrono::milliseconds(60);
+constexpr duration least_pause = std::chrono::milliseconds(100);
 
 void change(concurrency_limit& limit, double most, duration pause, time_point now)
 {
