Look for few peers of other data centres in a large fleet

Change: with 16 known peers afar an instance of a large fleet looks for those at home only. Test: a_large_fleet_does_not_look_for_every_peer_of_other_data_centres fails before.

--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -27,6 +27,8 @@
 /// How long an instance goes on reading that began because of a stale state.
 constexpr duration reading_term = std::chrono::seconds(3);
 constexpr std::size_t most_strangers = 64;
+/// Peers of other data centres that an instance of a large fleet looks for.
+constexpr std::size_t enough_far_peers = 16;
 
 bool is_newer(const state_freshness& left, const state_freshness& right)
 {
@@ -75,8 +77,19 @@
     return best;
 }
 
+/// Returns whether peers of other data centres are known well enough: in a large fleet
+/// they are heard so rarely that each would be forgotten and looked for again and again.
+bool has_enough_far_peers(const fleet_peers& fleet)
+{
+    const auto far = std::count_if(fleet.peers.begin(), fleet.peers.end(),
+                                   [&](const auto& each)
+                                   { return each.second.data_centre != fleet.home; });
+    return is_large(fleet) && static_cast<std::size_t>(far) >= enough_far_peers;
+}
+
 void note_strangers(fleet_peers& fleet, std::span<const fleet_member> members)
 {
+    const bool is_home_only = has_enough_far_peers(fleet);
     for (const fleet_member& each : members)
     {
         const bool is_known = each.instance == fleet.self ||
@@ -84,7 +97,8 @@
                               std::any_of(fleet.strangers.begin(), fleet.strangers.end(),
                                           [&](const fleet_member& known)
                                           { return known.instance == each.instance; });
-        if (!is_known && fleet.strangers.size() < most_strangers)
+        const bool is_wanted = !is_home_only || each.data_centre == fleet.home;
+        if (!is_known && is_wanted && fleet.strangers.size() < most_strangers)
         {
             fleet.strangers.push_back(each);
         }
--- a/test/decision/fleet_peers_test.cpp
+++ b/test/decision/fleet_peers_test.cpp
@@ -207,3 +207,27 @@
     UNSIGNED_LONGS_EQUAL(1, forgotten.size());
     CHECK_TRUE(fleet.peers.empty());
 }
+
+TEST(fleet_peers, a_large_fleet_does_not_look_for_every_peer_of_other_data_centres)
+{
+    for (std::uint32_t instance = 100; instance < 140; ++instance)
+    {
+        fleet_beat beat = beat_of(instance, 0ms, 1);
+        beat.data_centre = {instance < 120 ? 1U : 2U};
+        hear_beat(fleet, {instance}, ++sequence, beat, now);
+    }
+    fleet_beat beat = beat_of(100, 0ms, 1);
+    beat.members = {{.instance = {200}, .address = {.address = 200}, .data_centre = {2}},
+                    {.instance = {201}, .address = {.address = 201}, .data_centre = {1}}};
+    hear_beat(fleet, {100}, ++sequence, beat, now);
+    UNSIGNED_LONGS_EQUAL_TEXT(1, fleet.strangers.size(), "the one at home only");
+    UNSIGNED_LONGS_EQUAL(201, fleet.strangers[0].instance.value);
+}
+
+TEST(fleet_peers, a_small_fleet_looks_for_everybody)
+{
+    fleet_beat beat = beat_of(100, 0ms, 1);
+    beat.members = {{.instance = {200}, .address = {.address = 200}, .data_centre = {2}}};
+    hear_beat(fleet, {100}, ++sequence, beat, now);
+    UNSIGNED_LONGS_EQUAL(1, fleet.strangers.size());
+}
