--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -58,7 +58,7 @@
     no_route,
     no_target,
     unknown_token,
-    /// Every target has as much as it can work on: the opening waits for one.
+    /// As much is under way as the targets can work on: the opening waits.
     wait,
 };
 
--- a/include/kumquatpath/decision/waiting_room.hpp
+++ b/include/kumquatpath/decision/waiting_room.hpp
@@ -2,7 +2,7 @@
 #define KUMQUATPATH_DECISION_WAITING_ROOM_HPP
 
 /// \file
-/// Openings that wait because every target of their service is full.
+/// Openings that wait because no more of their service may be under way.
 ///
 /// After an outage, or in a flood, more comes than the targets can work on, and what
 /// waits in their queues makes everything late. So it waits here, where the newest
