--- a/review/1/case.py
+++ b/review/1/case.py
@@ -23,7 +23,10 @@
 DOWN_S = 0.2
 MAX_KILLED = 4
 FLOWS_PER_S = 40
-RUN_AFTER_S = 20.0
+WORK_S = 0.25
+DEADLINE_S = 2.0
+LIVES_AFTER_S = 14.0
+RUN_AFTER_END_S = 6.0
 
 
 def readers_of(deployment):
@@ -40,7 +43,9 @@
 async def use(deployment, zone, number, port):
     client = await deployment.client(zone, number, port, LISTENER)
     if await client.open():
-        await client.request(f"r{zone}-{port}")
+        client.opened_at = deployment.record.now()
+        client.answer = await client.request(f"r{zone}-{port}", DEADLINE_S, b"x" * 900)
+        client.is_done = True
         client.close()
 
 
@@ -57,10 +62,10 @@
     deployment = Deployment(os.path.join(HERE, "record.txt"), NODES, SEEDS)
     record = deployment.record
     try:
-        route = {"name": "r-lookup", "host": LISTENER[0], "prefix": f"/{LISTENER[1]}/",
-                 "kind": "idempotent", "timeoutMs": 1500, "latencyGoalMs": 250, "priority": 2,
+        route = {"name": "r-submit", "host": LISTENER[0], "prefix": f"/{LISTENER[1]}/",
+                 "kind": "non_idempotent", "timeoutMs": 2000, "latencyGoalMs": 300, "priority": 1,
                  "service": "catalogue", "attempts": 2}
-        await deployment.start([route], [("catalogue", i % 3, 0.055) for i in range(9)])
+        await deployment.start([route], [("catalogue", i % 3, WORK_S) for i in range(9)])
         deployment.spawn(callers(deployment))
         await asyncio.sleep(5)
         lost = deployment.hosts[3]
@@ -85,17 +90,23 @@
             await asyncio.sleep(0.01)
         removed_at = next(at for _, at, event in deployment.store.events
                           if event["key"] == key and event.get("deleted")) - record.start
-        await asyncio.sleep(RUN_AFTER_S)
+        await asyncio.sleep(LIVES_AFTER_S)
+        lost.end()
+        await asyncio.sleep(RUN_AFTER_END_S)
         for node in deployment.nodes:
             status = await node.status()
             record(f"{node.name}: position {status['position']}, targets {status['targets']}")
         late = [at for at, node in lost.openings
                 if at > removed_at + DRAIN_S and node not in killed]
         runs = [at for at, _ in lost.runs if at > removed_at + DRAIN_S]
+        unanswered = [client.name for client in deployment.clients.values()
+                      if client.host == lost.id and client.opened_at > removed_at + DRAIN_S
+                      and client.is_done and client.answer is None]
         record(f"{lost.id} was removed at {removed_at:.3f}; later than {DRAIN_S} s after that it "
                f"took {len(late)} openings from instances that were not killed, the last one "
                f"{max(late, default=removed_at) - removed_at:.1f} s after it, and ran "
-               f"{len(runs)} requests")
+               f"{len(runs)} requests; when it ended, {len(unanswered)} requests on such flows were "
+               f"never answered: {unanswered}")
         return bool(late)
     finally:
         await deployment.stop()
--- a/review/common/platform_standin.py
+++ b/review/common/platform_standin.py
@@ -207,6 +207,7 @@
         self.openings = []
         self.runs = []
         self.reaches_store = True
+        self.has_ended = False
         self.last_beat = time.monotonic()
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -242,7 +243,15 @@
     def lapses_at(self):
         return self.last_beat + SILENT_HEARTBEATS * HEARTBEAT_S
 
+    def end(self):
+        """Ends the host with its flows and the requests that it runs."""
+        self.record(f"{self.id}: ends with {len(self.flows)} flows")
+        self.has_ended = True
+        self.transport.close()
+
     def send(self, packet):
+        if self.has_ended:
+            return
         self.transport.sendto(packet.encode(),
                               (address_text(packet.dst), self.deployment.data_port))
 
@@ -317,6 +326,7 @@
         self.answers = {}
         self.event = asyncio.Event()
         self.ended = None
+        self.opened_at, self.answer, self.is_done = 0.0, None, False
         deployment.clients[(address_number(address), port)] = self
 
     def packet(self, flags, data=b""):
@@ -347,9 +357,10 @@
                 break
         return self.is_open
 
-    async def request(self, name, deadline_s=4.0):
+    async def request(self, name, deadline_s, body=b""):
         """Sends one request and returns its answer, or nothing."""
-        data = f"GET {name} HTTP/1.1\r\n\r\n".encode()
+        data = (f"{'POST' if body else 'GET'} {name} HTTP/1.1\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
         sent_seq, started, wait_s = self.seq, time.monotonic(), RETRANSMIT_S
         self.record(f"client {self.name}: sends {name}, echo {self.echo:08x}")
         next_copy = started
