Count control traffic apart from callers' packets, by channel

Cause: the metrics counted the bytes of sent heartbeats only, so the load of control on an instance could not be told from that of callers' packets: not for state transfers, nor for calls of the store. Change: traffic_counter counts in the HTTP client and in state transfers, the packet worker counts heartbeats; /metrics shows bytes sent and received by channel, and a line control_traffic in the log, every 10 s, the totals. control_bytes_sent, without a label before, has the label channel now.

--- a/include/kumquatpath/edge/http_client.hpp
+++ b/include/kumquatpath/edge/http_client.hpp
@@ -4,6 +4,7 @@
 /// \file
 /// A blocking HTTP/1.1 client with a timeout on every call.
 
+#include <kumquatpath/edge/traffic_counter.hpp>
 #include <kumquatpath/model/endpoint.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -59,7 +60,7 @@
 };
 
 /// A client of one server. It keeps one connection open between calls and reconnects when
-/// that connection has failed. Not thread-safe, except for cancel().
+/// that connection has failed. Not thread-safe, except for cancel() and total_traffic().
 class http_client
 {
 public:
@@ -83,6 +84,9 @@
     /// thread.
     void cancel();
 
+    /// Returns the traffic of all calls, failed ones too. May be called from any thread.
+    traffic total_traffic() const noexcept;
+
 private:
     struct connection;
 
@@ -95,6 +99,7 @@
     boost::asio::io_context context_{1};
     std::atomic<bool> is_cancelled_{false};
     bool has_timed_out_ = false;
+    traffic_counter traffic_;
     std::unique_ptr<connection> connection_;
 };
 
--- a/include/kumquatpath/edge/state_source.hpp
+++ b/include/kumquatpath/edge/state_source.hpp
@@ -5,6 +5,7 @@
 /// The interface to the store of the configuration and the target registrations. Tests
 /// provide a fake implementation.
 
+#include <kumquatpath/edge/traffic_counter.hpp>
 #include <kumquatpath/model/routing_table.hpp>
 #include <kumquatpath/model/state_update.hpp>
 
@@ -42,7 +43,7 @@
 };
 
 /// Reads the shared state. Every read blocks for a bounded time and may fail with
-/// state_failure. Not thread-safe, except for cancel().
+/// state_failure. Not thread-safe, except for cancel() and total_traffic().
 class state_source
 {
 public:
@@ -64,6 +65,9 @@
     /// Aborts the call in progress and makes all later calls fail. May be called from any
     /// thread.
     virtual void cancel() = 0;
+
+    /// Returns the traffic with the store since the start. May be called from any thread.
+    virtual traffic total_traffic() const noexcept = 0;
 };
 
 /// A function that parses the text of a configuration. It returns null and logs the
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,16 +39,19 @@
 daemon::daemon(const daemon_settings& settings, std::string settings_file,
                const daemon_adapters& adapters)
     : settings_file_(std::move(settings_file)),
-      packet_worker_(settings, adapters.packets, random_incarnation(),
-                     {.request_reading = [this](const read_request& request)
-                      { state_reader_.update_request(request); },
-                      .query_peer = [this](const peer_query& request)
-                      { return peer_query_queue_.send(request); },
-                      .set_ready =
-                          [this](bool is_ready)
-                      {
-                          status_server_.set_ready(is_ready);
-                      }}),
+      packet_worker_(
+          settings, adapters.packets, random_incarnation(),
+          {.request_reading = [this](const read_request& request)
+           { state_reader_.update_request(request); },
+           .query_peer = [this](const peer_query& request)
+           { return peer_query_queue_.send(request); },
+           .set_ready = [this](bool is_ready) { status_server_.set_ready(is_ready); },
+           .total_traffic =
+               [this, &source = adapters.state]
+           {
+               return worker_traffic{.state_transfers = state_transfer_.total_traffic(),
+                                     .store = source.total_traffic()};
+           }}),
       state_reader_queue_(packet_worker_.context(), queue_capacity,
                           [this](packet_worker_message message)
                           { packet_worker_.handle(std::move(message)); }),
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -43,6 +43,24 @@
     out << "kumquatpath_" << name << " " << value << "\n";
 }
 
+void write_traffic(std::ostream& out, std::string_view channel, const traffic& bytes)
+{
+    const auto write = [&](std::string_view direction, std::uint64_t value)
+    {
+        out << "kumquatpath_control_bytes_" << direction << "{channel=\"" << channel
+            << "\"} " << value << "\n";
+    };
+    write("sent", bytes.sent);
+    write("received", bytes.received);
+}
+
+void write_control_traffic(std::ostream& out, const control_traffic& control)
+{
+    write_traffic(out, "heartbeats", control.heartbeats);
+    write_traffic(out, "state_transfers", control.state_transfers);
+    write_traffic(out, "store", control.store);
+}
+
 void write_evacuations(std::ostream& out, const entry_instance& self, time_point now)
 {
     const auto in_force = evacuations_in_force(self.evacuations);
@@ -292,7 +310,7 @@
                  self.steering.selector.flows_placed_at_risk);
     write_metric(out, "openings_refused", metrics.openings_refused);
     write_metric(out, "peer_messages_refused", metrics.peer_messages_refused);
-    write_metric(out, "control_bytes_sent", metrics.control_bytes_sent);
+    write_control_traffic(out, metrics.control);
     write_metric(out, "readings", metrics.readings);
     write_metric(out, "readings_failed", metrics.readings_failed);
     write_metric(out, "whole_replies_sent", metrics.whole_replies_sent);
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -5,6 +5,7 @@
 /// The counters and histograms of an entry instance, and the /metrics page.
 
 #include <kumquatpath/decision/entry_instance.hpp>
+#include <kumquatpath/edge/traffic_counter.hpp>
 
 #include <boost/histogram.hpp>
 
@@ -40,6 +41,14 @@
     std::map<std::string, std::uint64_t, std::less<>> refused;
 };
 
+/// What the instance exchanges for its own coordination, apart from callers' packets.
+struct control_traffic
+{
+    traffic heartbeats;
+    traffic state_transfers;
+    traffic store;
+};
+
 /// The counters and histograms of one instance.
 struct instance_metrics
 {
@@ -48,7 +57,8 @@
     std::uint64_t flows_placed = 0;
     std::uint64_t openings_refused = 0;
     std::uint64_t peer_messages_refused = 0;
-    std::uint64_t control_bytes_sent = 0;
+    /// As of the last page, except for the heartbeats.
+    control_traffic control;
     std::uint64_t readings = 0;
     std::uint64_t readings_failed = 0;
     /// Replies to peers, and of peers, with the whole state instead of changes.
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -165,6 +165,7 @@
 {
     const time_point now = monotonic_now();
     count_waiting_openings();
+    count_control_traffic();
     message.respond(message.page == page_kind::status
                         ? status_page(settings_, self_, now)
                         : metrics_page(metrics_, self_, now));
@@ -271,6 +272,7 @@
     contact_new_peers(now);
     log_target_changes(now);
     log_waiting_openings(now);
+    log_control_traffic(now);
     const bool is_reading =
         update_reader_role(self_.fleet, self_.directory.position, now);
     if (is_reading != was_reading_)
--- a/src/daemon/packet_worker.hpp
+++ b/src/daemon/packet_worker.hpp
@@ -25,14 +25,22 @@
 namespace kumquatpath
 {
 
-/// Functions through which the packet_worker controls the other workers. Each is called
-/// on the packet_worker's thread and must not block.
+/// The traffic of the connections that other workers own.
+struct worker_traffic
+{
+    traffic state_transfers;
+    traffic store;
+};
+
+/// Functions through which the packet_worker controls and queries the other workers. Each
+/// is called on the packet_worker's thread and must not block.
 struct packet_worker_outputs
 {
     std::function<void(const read_request&)> request_reading;
     /// Returns whether the query was queued.
     std::function<bool(const peer_query&)> query_peer;
     std::function<void(bool)> set_ready;
+    std::function<worker_traffic()> total_traffic;
 };
 
 /// The state of a target as it was last logged.
@@ -173,6 +181,10 @@
     /// Logs, at most once a second, how many targets warm up if that has changed, and
     /// once that an announced warm-up was too long.
     void log_warm_ups(time_point now);
+    /// Updates the traffic of the other workers in the metrics.
+    void count_control_traffic();
+    /// Logs the control traffic so far at intervals.
+    void log_control_traffic(time_point now);
     /// Updates the numbers of waiting openings in the metrics.
     void count_waiting_openings();
     /// Logs the concurrency limit of each service, once a second while openings are
@@ -223,6 +235,7 @@
     time_point next_remote_heartbeat_at_;
     time_point next_seed_contact_at_;
     time_point next_waiting_log_at_;
+    time_point next_traffic_log_at_;
     time_point next_refusal_at_;
     time_point log_refill_at_;
     /// How many lines may_log() still allows before log_refill_at_.
--- a/src/daemon/packet_worker_peers.cpp
+++ b/src/daemon/packet_worker_peers.cpp
@@ -28,6 +28,7 @@
 /// than the longest session of the state_transfer.
 constexpr duration max_query_time = std::chrono::seconds(3);
 constexpr duration seed_contact_interval = std::chrono::milliseconds(250);
+constexpr duration traffic_log_interval = std::chrono::seconds(10);
 
 } // namespace
 
@@ -51,6 +52,7 @@
 void packet_worker::process_heartbeat(byte_view datagram, const endpoint& source,
                                       time_point now)
 {
+    metrics_.control.heartbeats.received += datagram.size();
     const auto message =
         decode_fleet_message(datagram, settings_.key, max_fleet_datagram_bytes);
     const auto* const heartbeat =
@@ -144,10 +146,36 @@
                                 .sequence = self_.heartbeats_sent,
                                 .body = std::move(heartbeat)};
     const std::vector<std::byte> bytes = encode_fleet_message(message, settings_.key);
-    metrics_.control_bytes_sent += bytes.size();
+    metrics_.control.heartbeats.sent += bytes.size();
     peer_socket_.queue(to, bytes);
 }
 
+void packet_worker::count_control_traffic()
+{
+    const worker_traffic others = outputs_.total_traffic();
+    metrics_.control.state_transfers = others.state_transfers;
+    metrics_.control.store = others.store;
+}
+
+void packet_worker::log_control_traffic(time_point now)
+{
+    if (now < next_traffic_log_at_)
+    {
+        return;
+    }
+    next_traffic_log_at_ = now + traffic_log_interval;
+    count_control_traffic();
+    const control_traffic& control = metrics_.control;
+    log(log_level::info, "control_traffic",
+        {{"peers", self_.fleet.peers.size()},
+         {"heartbeats_sent", control.heartbeats.sent},
+         {"heartbeats_received", control.heartbeats.received},
+         {"state_transfers_sent", control.state_transfers.sent},
+         {"state_transfers_received", control.state_transfers.received},
+         {"store_sent", control.store.sent},
+         {"store_received", control.store.received}});
+}
+
 void packet_worker::contact_new_peers(time_point now)
 {
     if (now < next_seed_contact_at_)
--- a/src/daemon/state_transfer.cpp
+++ b/src/daemon/state_transfer.cpp
@@ -94,31 +94,32 @@
 
     void read_body(message_handler then)
     {
-        asio::async_read(
-            socket, asio::buffer(incoming),
-            [self = shared_from_this(), then = std::move(then)](
-                const boost::system::error_code& failure, std::size_t /*size*/)
-            {
-                if (!failure)
-                {
-                    then(self->incoming);
-                }
-            });
+        asio::async_read(socket, asio::buffer(incoming),
+                         [self = shared_from_this(), then = std::move(then)](
+                             const boost::system::error_code& failure, std::size_t size)
+                         {
+                             if (!failure)
+                             {
+                                 self->owner.traffic_.count_received(length_prefix_bytes +
+                                                                     size);
+                                 then(self->incoming);
+                             }
+                         });
     }
 
     void write(const std::vector<std::byte>& message, std::function<void()> then)
     {
         outgoing = with_length_prefix(message);
-        asio::async_write(
-            socket, asio::buffer(outgoing),
-            [self = shared_from_this(), then = std::move(then)](
-                const boost::system::error_code& failure, std::size_t /*size*/)
-            {
-                if (!failure)
-                {
-                    then();
-                }
-            });
+        asio::async_write(socket, asio::buffer(outgoing),
+                          [self = shared_from_this(), then = std::move(then)](
+                              const boost::system::error_code& failure, std::size_t size)
+                          {
+                              if (!failure)
+                              {
+                                  self->owner.traffic_.count_sent(size);
+                                  then();
+                              }
+                          });
     }
 
     state_transfer& owner;
@@ -153,6 +154,11 @@
     context_.stop();
 }
 
+traffic state_transfer::total_traffic() const noexcept
+{
+    return traffic_.total();
+}
+
 void state_transfer::accept()
 {
     acceptor_.async_accept(
--- a/src/daemon/state_transfer.hpp
+++ b/src/daemon/state_transfer.hpp
@@ -10,6 +10,7 @@
 #include "messages.hpp"
 
 #include <kumquatpath/edge/peer_authentication.hpp>
+#include <kumquatpath/edge/traffic_counter.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,8 +32,8 @@
 };
 
 /// Serves peers' requests for the shared state and sends such requests to peers. Only
-/// stop() may be called from threads other than the one in run(). A connection that is
-/// open for longer than 1.5 seconds is closed.
+/// stop() and total_traffic() may be called from threads other than the one in run(). A
+/// connection that is open for longer than 1.5 seconds is closed.
 class state_transfer
 {
 public:
@@ -54,6 +55,10 @@
     /// Makes run() return. May be called from any thread.
     void stop();
 
+    /// Returns the bytes of all frames that were carried whole. May be called from any
+    /// thread.
+    traffic total_traffic() const noexcept;
+
 private:
     struct session;
 
@@ -67,6 +72,7 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     /// Atomic because the packet_worker may drop the last reference to a session.
     std::atomic<std::size_t> open_sessions_ = 0;
+    traffic_counter traffic_;
 };
 
 } // namespace kumquatpath
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -85,6 +85,11 @@
     context_.stop();
 }
 
+traffic http_client::total_traffic() const noexcept
+{
+    return traffic_.total();
+}
+
 bool http_client::connect(std::chrono::milliseconds timeout)
 {
     connection_ = std::make_unique<connection>(context_);
@@ -119,18 +124,24 @@
     message.prepare_payload();
 
     std::optional<beast::error_code> outcome;
-    const auto on_complete = [&](beast::error_code error, std::size_t)
-    {
-        outcome = error;
-    };
     connection_->stream.expires_after(request.timeout);
-    http::async_write(connection_->stream, message, on_complete);
+    http::async_write(connection_->stream, message,
+                      [&](beast::error_code error, std::size_t bytes)
+                      {
+                          traffic_.count_sent(bytes);
+                          outcome = error;
+                      });
     http::response_parser<http::string_body> parser;
     parser.body_limit(max_body_bytes);
     if (!run_operation(outcome))
     {
         outcome.reset();
-        http::async_read(connection_->stream, connection_->buffer, parser, on_complete);
+        http::async_read(connection_->stream, connection_->buffer, parser,
+                         [&](beast::error_code error, std::size_t bytes)
+                         {
+                             traffic_.count_received(bytes);
+                             outcome = error;
+                         });
         run_operation(outcome);
     }
     // Without a length, a body that broke off cannot be told from a complete one.
--- a/test/daemon/state_reader_test.cpp
+++ b/test/daemon/state_reader_test.cpp
@@ -66,6 +66,11 @@
     }
 
     void cancel() override {}
+
+    traffic total_traffic() const noexcept override
+    {
+        return {};
+    }
 };
 
 } // namespace
--- a/test/edge/http_client_test.cpp
+++ b/test/edge/http_client_test.cpp
@@ -48,3 +48,18 @@
     STRCMP_EQUAL("no response", body_of(client).c_str());
     server.join();
 }
+
+TEST(http_client, counts_the_bytes_of_requests_and_responses)
+{
+    const std::string response = http_response_text(200, "body");
+    canned_server server({{response, response}});
+    http_client client(server.address());
+    body_of(client);
+    const traffic once = client.total_traffic();
+    body_of(client);
+    server.join();
+    CHECK(once.sent > std::string("GET / HTTP/1.1").size());
+    LONGS_EQUAL(response.size(), once.received);
+    LONGS_EQUAL(2 * once.sent, client.total_traffic().sent);
+    LONGS_EQUAL(2 * once.received, client.total_traffic().received);
+}
