Reset open flows whose target has ended, told by the next target at its address

Cause: a caller whose flow is at a target that has ended waits in silence until its deadline, request by request: the next target at the address ignores packets that are meant for another one. Ruled out: unanswered openings as evidence (a full target leaves them unanswered too), a missing announcement alone (it may expire while the store is down). Change: with the setting reset_ended_flows (platform only; off by default) the directory keeps who announced each address last. Any other target there has ended: it takes no new flows, and packets of its flows, except the last of a flow, are answered with a reset. The revision of the announcements decides, so the order of arrival does not matter. Conclusion: the caller tries again at once instead of waiting in vain.

--- a/include/kumquatpath/decision/entry_instance.hpp
+++ b/include/kumquatpath/decision/entry_instance.hpp
@@ -64,6 +64,8 @@
     selection_options selection;
     /// The limit of second tries as a share of a listener's openings; 0: off.
     double second_tries_share = 0;
+    /// See target_directory::has_exclusive_addresses.
+    bool has_exclusive_addresses = false;
 };
 
 /// The effect of an update of the shared state.
--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -11,6 +11,9 @@
 /// determines the candidates. A packet whose target is not certain is dropped: the caller
 /// retransmits it, whereas a wrong target would end the flow.
 ///
+/// A flow whose target has certainly ended is reset, so that its caller can try again
+/// instead of waiting until its deadline: see known_target::is_replaced.
+///
 /// An instance tracks the flows that it has seen in order to measure their targets. The
 /// flow table is bounded and may be lost at any time without harm to a flow.
 
@@ -69,10 +72,12 @@
     /// The service's only targets warm up and have used up their limit for now, so the
     /// opening is to be refused.
     warm_up_limit,
+    /// The flow's target has ended, so the flow is to be reset.
+    target_ended,
 };
 
 /// The number of enumerators of steering_verdict.
-inline constexpr std::size_t steering_verdict_count = 7;
+inline constexpr std::size_t steering_verdict_count = 8;
 
 /// A verdict and, for steering_verdict::forward, the target to send to.
 struct steering_decision
--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -72,6 +72,12 @@
     bool is_shadowed = false;
     /// The target's data centre is evacuated, so the target takes no new flows.
     bool is_evacuated = false;
+    /// The revision of the last announcement, or a later one if the target was gone when
+    /// it became known.
+    state_revision announced_revision;
+    /// Another target was announced later at the same address, so this one has ended and
+    /// takes no new flows. Only if addresses are exclusive.
+    bool is_replaced = false;
     /// When the first announcement of this start of the target was applied.
     time_point warm_up_since;
     /// The end of the warm-up, never before its true end. It is fixed by the first
@@ -97,6 +103,12 @@
     boost::unordered_flat_map<service_id, std::vector<target_index>,
                               std::hash<service_id>>
         by_service;
+    /// Only one target at a time has an address: an address is announced by its next
+    /// target only after the previous one has ended.
+    bool has_exclusive_addresses = false;
+    /// The target that was announced last at each address, by the packed endpoint; only
+    /// if addresses are exclusive.
+    boost::unordered_flat_map<std::uint64_t, target_index> by_address;
     /// By target key; only for targets that are not in the directory.
     boost::unordered_flat_map<std::uint64_t, target_tombstone> tombstones;
     /// Each target is held as it was in the store at this position or later.
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -270,6 +270,8 @@
         return "evacuated";
     case steering_verdict::warm_up_limit:
         return "warm_up_limit";
+    case steering_verdict::target_ended:
+        return "target_ended";
     case steering_verdict::wait:
         break;
     }
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -27,7 +27,8 @@
          .incarnation = incarnation,
          .selection = {.uses_speeds = settings.uses_target_speeds,
                        .uses_peer_evidence = settings.shares_evidence},
-         .second_tries_share = settings.second_tries_percent / percent});
+         .second_tries_share = settings.second_tries_percent / percent,
+         .has_exclusive_addresses = settings.resets_ended_flows});
 }
 
 std::string_view to_string(state_failure failure)
--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -23,10 +23,12 @@
 constexpr std::string_view concurrency_limit_reached = "concurrency limit reached";
 constexpr std::string_view route_removed = "route removed";
 constexpr std::string_view targets_warm_up = "targets warm up";
+constexpr std::string_view target_ended = "target ended";
 constexpr std::string_view instance_stops = "instance stops";
 constexpr std::string_view data_centre_evacuated = "data centre evacuated";
 
-/// Returns why an opening with \p verdict is refused at once, or nothing if it is not.
+/// Returns why a packet with \p verdict is answered with a reset at once, or nothing if
+/// it is not.
 std::optional<std::string_view> refusal_reason_of(steering_verdict verdict)
 {
     switch (verdict)
@@ -35,6 +37,8 @@
         return data_centre_evacuated;
     case steering_verdict::warm_up_limit:
         return targets_warm_up;
+    case steering_verdict::target_ended:
+        return target_ended;
     default:
         return std::nullopt;
     }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -14,14 +14,22 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::string_view known_keys[] = {"name",           "data_centre",
-                                           "data",           "ready",
-                                           "ready_path",     "metrics",
-                                           "peer",           "peer_key",
-                                           "seeds",          "state",
-                                           "interface",      "target_speeds",
-                                           "priorities",     "second_tries_percent",
-                                           "shared_evidence"};
+constexpr std::string_view known_keys[] = {"name",
+                                           "data_centre",
+                                           "data",
+                                           "ready",
+                                           "ready_path",
+                                           "metrics",
+                                           "peer",
+                                           "peer_key",
+                                           "seeds",
+                                           "state",
+                                           "interface",
+                                           "target_speeds",
+                                           "priorities",
+                                           "second_tries_percent",
+                                           "shared_evidence",
+                                           "reset_ended_flows"};
 
 constexpr double max_second_tries_percent = 10;
 
@@ -125,6 +133,20 @@
     return percent;
 }
 
+/// Reads whether flows whose target has ended are reset. Only targets that announce
+/// themselves, as on the platform, have an address to themselves.
+leaf::result<bool> read_ended_flow_resets(const json::object& object,
+                                          const daemon_settings& settings)
+{
+    BOOST_LEAF_AUTO(is_on, read_flag(object, "reset_ended_flows"));
+    if (is_on && settings.interface != served_interface::platform)
+    {
+        return leaf::new_error(settings_fault{
+            "reset_ended_flows", "false unless the interface is \"platform\""});
+    }
+    return is_on;
+}
+
 leaf::result<void> refuse_unknown_keys(const json::object& object)
 {
     for (const auto& [key, value] : object)
@@ -169,6 +191,8 @@
     BOOST_LEAF_ASSIGN(settings.uses_priorities, read_flag(object, "priorities"));
     BOOST_LEAF_ASSIGN(settings.second_tries_percent, read_second_tries_percent(object));
     BOOST_LEAF_ASSIGN(settings.shares_evidence, read_flag(object, "shared_evidence"));
+    BOOST_LEAF_ASSIGN(settings.resets_ended_flows,
+                      read_ended_flow_resets(object, settings));
     return settings;
 }
 
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -57,6 +57,8 @@
     double second_tries_percent = 0;
     /// Evidence about targets is reported to local peers, and theirs is used.
     bool shares_evidence = false;
+    /// Flows whose target has ended are reset; only with served_interface::platform.
+    bool resets_ended_flows = false;
 };
 
 /// An error in a settings file.
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -96,6 +96,7 @@
     self.fleet.local_data_centre = options.local_data_centre;
     self.steering.selector.local_data_centre = options.local_data_centre;
     self.steering.selector.options = options.selection;
+    self.directory.has_exclusive_addresses = options.has_exclusive_addresses;
     self.second_try_state.share = options.second_tries_share;
     self.steering.pins_flows_opened_elsewhere = options.second_tries_share > 0;
     self.steering.random = hash_pair(options.self.value, options.incarnation);
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -291,6 +291,36 @@
     record_packet(steering, table, directory, flow, packet, now);
 }
 
+/// Returns the target of \p flow for a packet with the token of \p token_target.
+target_index target_of(const target_directory& directory, const tracked_flow& flow,
+                       target_index token_target)
+{
+    // If the opening was placed more than once, the late answer of another target must
+    // not move the flow.
+    const bool keeps_target = flow.is_answered &&
+                              (flow.placements > 1 || flow.is_pinned) &&
+                              directory.targets[flow.target].record.key == flow.key;
+    return keeps_target ? flow.target : token_target;
+}
+
+/// Returns whether \p packet of a flow at \p target is in vain. The last packet of a flow
+/// needs no answer.
+bool is_in_vain(const target_directory& directory, const flow_packet& packet,
+                target_index target)
+{
+    return directory.targets[target].is_replaced && !packet.is_end;
+}
+
+/// Records that the target of \p flow has ended.
+steering_decision end_flow(flow_steering& steering, const target_directory& directory,
+                           tracked_flow& flow)
+{
+    flow.is_ended = true;
+    flow.request_sent_at.reset();
+    set_in_flight(steering, directory, flow, false);
+    return {.verdict = steering_verdict::target_ended};
+}
+
 } // namespace
 
 bool is_repeatable(const routing_table& table, const flow_packet& packet)
@@ -322,12 +352,22 @@
     const auto found = steering.flows.find(packet.flow.value);
     if (found == steering.flows.end())
     {
+        if (is_in_vain(directory, packet, *token_target))
+        {
+            return {.verdict = steering_verdict::target_ended};
+        }
         track_flow_opened_elsewhere(steering, table, directory, packet, *token_target,
                                     now);
         return forward_to(directory, *token_target, false);
     }
     tracked_flow& flow = found->second;
-    steering_decision decision;
+    steering_decision decision{.verdict = steering_verdict::forward,
+                               .target = target_of(directory, flow, *token_target)};
+    if (is_in_vain(directory, packet, decision.target))
+    {
+        return end_flow(steering, directory, flow);
+    }
+    decision.token = directory.targets[decision.target].token;
     if (!flow.is_answered)
     {
         decision.opening_time = now - flow.placed_at;
@@ -338,13 +378,6 @@
         decision.flow_time = now - flow.opened_at;
     }
     record_packet(steering, table, directory, flow, packet, now);
-    // If the opening was placed more than once, the late answer of another target must
-    // not move the flow.
-    const bool keeps_target = (flow.placements > 1 || flow.is_pinned) &&
-                              directory.targets[flow.target].record.key == flow.key;
-    decision.verdict = steering_verdict::forward;
-    decision.target = keeps_target ? flow.target : *token_target;
-    decision.token = directory.targets[decision.target].token;
     return decision;
 }
 
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -57,6 +57,41 @@
     }
 }
 
+/// Registers the address of the target at \p index. Of the targets at one address, all
+/// but the one that was announced last have ended.
+void claim_address(target_directory& directory, target_index index)
+{
+    if (!directory.has_exclusive_addresses)
+    {
+        return;
+    }
+    known_target& target = directory.targets[index];
+    const auto holder =
+        directory.by_address.try_emplace(pack(target.record.address), index).first;
+    known_target& last = directory.targets[holder->second];
+    if (holder->second == index || last.announced_revision < target.announced_revision)
+    {
+        last.is_replaced = true;
+        target.is_replaced = false;
+        holder->second = index;
+    }
+    else
+    {
+        target.is_replaced = last.announced_revision > target.announced_revision;
+    }
+}
+
+/// Releases the address of the target at \p index if that was announced last there.
+void release_address(target_directory& directory, target_index index)
+{
+    const auto holder =
+        directory.by_address.find(pack(directory.targets[index].record.address));
+    if (holder != directory.by_address.end() && holder->second == index)
+    {
+        directory.by_address.erase(holder);
+    }
+}
+
 /// Marks \p target, which was just added, gone since \p revision. Its announcement was
 /// never in force here, so it gets no grace period.
 void mark_never_announced(known_target& target, state_revision revision, time_point now)
@@ -121,9 +156,15 @@
         directory.by_service[change.record->service].push_back(index);
     }
     record_warm_up(directory, target, *change.record, now);
+    if (target.record.address != change.record->address)
+    {
+        release_address(directory, index);
+    }
     target.record = *change.record;
     target.revision = change.revision;
+    target.announced_revision = change.revision;
     target.is_announced = true;
+    claim_address(directory, index);
 }
 
 /// Records that the directory no longer knows a change of \p revision.
@@ -201,6 +242,7 @@
     known_target& target = directory.targets[index];
     directory.by_key.erase(target.record.key.value);
     remove_from_service(directory, target.record.service, index);
+    release_address(directory, index);
     const auto holder = directory.by_token.find(target.token.value);
     if (holder != directory.by_token.end() && holder->second == index)
     {
@@ -247,7 +289,8 @@
 
 bool takes_new_flows(const known_target& target, time_point now)
 {
-    if (target.record.is_draining || target.is_shadowed || target.is_evacuated)
+    if (target.record.is_draining || target.is_shadowed || target.is_evacuated ||
+        target.is_replaced)
     {
         return false;
     }
--- a/test/daemon/settings_test.cpp
+++ b/test/daemon/settings_test.cpp
@@ -99,3 +99,15 @@
     text.replace(1, 0, R"("shared_evidence":"yes",)");
     STRCMP_EQUAL("at shared_evidence", invalid_key(text).c_str());
 }
+
+TEST(settings,
+     ended_flows_are_reset_only_if_the_file_says_so_and_targets_announce_themselves)
+{
+    CHECK_FALSE(read_settings(complete_settings)->resets_ended_flows);
+    std::string text = complete_settings;
+    text.replace(1, 0, R"("interface":"platform","reset_ended_flows":true,)");
+    CHECK_TRUE(read_settings(text)->resets_ended_flows);
+    text = complete_settings;
+    text.replace(1, 0, R"("interface":"own","reset_ended_flows":true,)");
+    STRCMP_EQUAL("at reset_ended_flows", invalid_key(text).c_str());
+}
