Reset flows also when their target's announcement is missing and it leaves a packet unanswered

Ruled out: the missing announcement alone, which may expire while the store is down; a retransmission alone, since a loaded target acknowledges late. Change: ended_flows.hpp decides; a flow is reset if its target is not announced, outside the grace period after an outage, and the caller repeats a payload 150 ms or more after its first copy. The platform's packets tell the position of a payload.

--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -12,7 +12,7 @@
 /// retransmits it, whereas a wrong target would end the flow.
 ///
 /// A flow whose target has certainly ended is reset, so that its caller can try again
-/// instead of waiting until its deadline: see known_target::is_replaced.
+/// instead of waiting until its deadline; see ended_flows.hpp.
 ///
 /// An instance tracks the flows that it has seen in order to measure their targets. The
 /// flow table is bounded and may be lost at any time without harm to a flow.
@@ -51,6 +51,9 @@
     /// The caller ends the flow, by closing or by aborting it.
     bool is_end = false;
     bool has_payload = false;
+    /// Where the payload stands in the flow: a retransmission has the same position. Set
+    /// only by packet formats that carry it.
+    std::optional<std::uint32_t> payload_position;
     /// The request, tenant and class are set only by packet formats that carry them.
     request_id request;
     tenant_id tenant;
@@ -109,6 +112,9 @@
     /// When the request that awaits its answer was sent; unset: there is none.
     std::optional<time_point> request_sent_at;
     request_id request;
+    /// The position of the last payload, and when a packet with it was first seen.
+    std::optional<std::uint32_t> payload_position;
+    time_point payload_seen_at;
     time_point last_seen;
     /// Number of times that the opening was placed on a target.
     std::uint8_t placements = 1;
--- /dev/null
+++ b/src/decision/ended_flows.cpp
@@ -0,0 +1,48 @@
+#include <kumquatpath/decision/ended_flows.hpp>
+
+namespace kumquatpath
+{
+namespace
+{
+
+/// Returns whether \p packet repeats a payload that the target of \p flow should have
+/// acknowledged by now.
+bool is_retransmission(const tracked_flow& flow, const flow_packet& packet,
+                       time_point now)
+{
+    return packet.has_payload && packet.payload_position &&
+           flow.payload_position == packet.payload_position &&
+           now >= flow.payload_seen_at + min_retransmission_age;
+}
+
+/// Returns whether the announcement of \p target is missing, other than for a while after
+/// an outage of the shared state.
+bool is_missing(const known_target& target, time_point now)
+{
+    return !target.is_announced && now >= target.grace_until;
+}
+
+} // namespace
+
+bool may_be_answered(const target_directory& directory, const flow_packet& packet,
+                     target_index target, const tracked_flow* flow, time_point now)
+{
+    if (!directory.has_exclusive_addresses || packet.is_end)
+    {
+        return true;
+    }
+    const known_target& known = directory.targets[target];
+    const bool is_unanswered = flow != nullptr && is_retransmission(*flow, packet, now);
+    return !known.is_replaced && !(is_unanswered && is_missing(known, now));
+}
+
+void record_payload(tracked_flow& flow, const flow_packet& packet, time_point now)
+{
+    if (packet.has_payload && flow.payload_position != packet.payload_position)
+    {
+        flow.payload_position = packet.payload_position;
+        flow.payload_seen_at = now;
+    }
+}
+
+} // namespace kumquatpath
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -1,6 +1,7 @@
 #include "flow_table.hpp"
 #include "opening_rules.hpp"
 
+#include <kumquatpath/decision/ended_flows.hpp>
 #include <kumquatpath/decision/opening_verdict.hpp>
 
 #include <algorithm>
@@ -178,6 +179,7 @@
                    const flow_packet& packet, time_point now)
 {
     flow.last_seen = now;
+    record_payload(flow, packet, now);
     const bool is_new_request = packet.has_payload && packet.request != flow.request;
     if (is_new_request && !flow.is_in_flight)
     {
@@ -303,14 +305,6 @@
     return keeps_target ? flow.target : token_target;
 }
 
-/// Returns whether \p packet of a flow at \p target is in vain. The last packet of a flow
-/// needs no answer.
-bool is_in_vain(const target_directory& directory, const flow_packet& packet,
-                target_index target)
-{
-    return directory.targets[target].is_replaced && !packet.is_end;
-}
-
 /// Records that the target of \p flow has ended.
 steering_decision end_flow(flow_steering& steering, const target_directory& directory,
                            tracked_flow& flow)
@@ -352,7 +346,7 @@
     const auto found = steering.flows.find(packet.flow.value);
     if (found == steering.flows.end())
     {
-        if (is_in_vain(directory, packet, *token_target))
+        if (!may_be_answered(directory, packet, *token_target, nullptr, now))
         {
             return {.verdict = steering_verdict::target_ended};
         }
@@ -363,7 +357,7 @@
     tracked_flow& flow = found->second;
     steering_decision decision{.verdict = steering_verdict::forward,
                                .target = target_of(directory, flow, *token_target)};
-    if (is_in_vain(directory, packet, decision.target))
+    if (!may_be_answered(directory, packet, decision.target, &flow, now))
     {
         return end_flow(steering, directory, flow);
     }
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Tests of flows whose target has ended: the next target at its address shows it.
+/// Tests of flows whose target has ended: the next target at its address shows it, or its
+/// missing announcement together with a packet that it leaves unanswered.
 
 #include "entry_fixture.hpp"
 
@@ -52,6 +53,15 @@
         return steer(steering, table, directory, packet, now).verdict;
     }
 
+    /// Returns a packet of flow \p number at target 1 with the payload at \p position.
+    static flow_packet payload(std::uint16_t number, std::uint32_t position)
+    {
+        flow_packet packet = continuation(number, token_of({1}));
+        packet.has_payload = true;
+        packet.payload_position = position;
+        return packet;
+    }
+
     bool is_replaced(std::uint64_t key)
     {
         return directory.targets[directory.by_key.at(key)].is_replaced;
@@ -124,6 +134,67 @@
     CHECK_FALSE(is_replaced(2));
 }
 
+TEST(ended_target,
+     resets_a_flow_that_it_leaves_unanswered_while_its_announcement_is_missing)
+{
+    open_flow(1000);
+    verdict_of(payload(1000, 1));
+    apply_change(directory, departure(1, 20), now);
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::target_ended);
+}
+
+TEST(ended_target, resets_such_a_flow_also_if_it_was_opened_through_another_instance)
+{
+    apply_change(directory, departure(1, 20), now);
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::target_ended);
+}
+
+TEST(ended_target, is_not_one_that_is_announced_and_leaves_a_packet_unanswered)
+{
+    open_flow(1000);
+    for (int i = 0; i < 8; ++i)
+    {
+        CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+        now += 200ms;
+    }
+}
+
+TEST(ended_target, is_not_one_that_answers_although_its_announcement_is_missing)
+{
+    open_flow(1000);
+    apply_change(directory, departure(1, 20), now);
+    for (std::uint32_t position = 1; position < 9; ++position)
+    {
+        CHECK_TRUE(verdict_of(payload(1000, position)) == steering_verdict::forward);
+        now += 200ms;
+    }
+}
+
+TEST(ended_target, is_not_told_by_a_copy_that_the_network_made)
+{
+    open_flow(1000);
+    apply_change(directory, departure(1, 20), now);
+    verdict_of(payload(1000, 1));
+    now += 20ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+}
+
+// Announcements that expire during an outage come back within the grace period.
+TEST(ended_target, is_not_one_whose_announcement_may_have_expired_in_an_outage)
+{
+    open_flow(1000);
+    record_outage_end(directory, 10s, now);
+    apply_change(directory, departure(1, 20), now);
+    verdict_of(payload(1000, 1));
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+    now += expiry_grace;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::target_ended);
+}
+
 // Its announcement may expire while the store is down, and comes back.
 TEST(ended_target, is_not_one_whose_announcement_is_missing_for_a_while)
 {
@@ -168,6 +239,10 @@
     apply_change(directory, announcement_at_address_of(1, 2, 20), now);
     CHECK_FALSE(is_replaced(1));
     LONGS_EQUAL(0, directory.by_address.size());
+    apply_change(directory, departure(1, 30), now);
+    verdict_of(payload(1000, 1));
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
 }
 
 TEST(ended_target, leaves_no_entry_for_its_address_when_it_is_forgotten)
--- a/test/platform/packet_header_test.cpp
+++ b/test/platform/packet_header_test.cpp
@@ -48,6 +48,15 @@
     UNSIGNED_LONGS_EQUAL(0, packet->token.value);
 }
 
+TEST(packet_header, a_payload_is_read_with_its_position_in_the_flow)
+{
+    auto packet = packet_with_flags(1);
+    CHECK_FALSE(format.read(as_packet(packet))->payload_position.has_value());
+    packet[31] = 2;
+    packet.resize(packet.size() + 2);
+    UNSIGNED_LONGS_EQUAL(0x11223344, *format.read(as_packet(packet))->payload_position);
+}
+
 TEST(packet_header, a_retransmitted_opening_reports_its_age)
 {
     auto retransmission = opening;
