--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -11,6 +11,9 @@
 /// determines the candidates. A packet whose target is not certain is dropped: the caller
 /// retransmits it, whereas a wrong target would end the flow.
 ///
+/// A flow whose target has certainly ended is reset, so that its caller can try again
+/// instead of waiting until its deadline; see ended_flows.hpp.
+///
 /// An instance tracks the flows that it has seen in order to measure their targets. The
 /// flow table is bounded and may be lost at any time without harm to a flow.
 
@@ -48,6 +51,9 @@
     /// The caller ends the flow, by closing or by aborting it.
     bool is_end = false;
     bool has_payload = false;
+    /// Where the payload stands in the flow: a retransmission has the same position. Set
+    /// only by packet formats that carry it.
+    std::optional<std::uint32_t> payload_position;
     /// The request, tenant and class are set only by packet formats that carry them.
     request_id request;
     tenant_id tenant;
@@ -69,10 +75,12 @@
     /// The service's only targets warm up and have used up their limit for now, so the
     /// opening is to be refused.
     warm_up_limit,
+    /// The flow's target has ended, so the flow is to be reset.
+    target_ended,
 };
 
 /// The number of enumerators of steering_verdict.
-inline constexpr std::size_t steering_verdict_count = 7;
+inline constexpr std::size_t steering_verdict_count = 8;
 
 /// A verdict and, for steering_verdict::forward, the target to send to.
 struct steering_decision
@@ -104,6 +112,9 @@
     /// When the request that awaits its answer was sent; unset: there is none.
     std::optional<time_point> request_sent_at;
     request_id request;
+    /// The position of the last payload, and when a packet with it was first seen.
+    std::optional<std::uint32_t> payload_position;
+    time_point payload_seen_at;
     time_point last_seen;
     /// Number of times that the opening was placed on a target.
     std::uint8_t placements = 1;
