--- a/include/kumquatpath/model/configuration.hpp
+++ b/include/kumquatpath/model/configuration.hpp
@@ -12,6 +12,7 @@
 #include <kumquatpath/model/ids.hpp>
 #include <kumquatpath/model/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -48,6 +49,16 @@
     std::uint32_t connections = 6000;
 };
 
+/// The number of concurrent connections of a target that count as one slot, which is one
+/// request processed at a time.
+inline constexpr std::uint32_t connections_per_slot = 2000;
+
+/// Returns the number of requests that \p each processes at a time; at least 1.
+constexpr std::uint32_t slots_of(const target& each) noexcept
+{
+    return std::max(1U, each.connections / connections_per_slot);
+}
+
 /// A set of targets that serve the same services.
 struct target_pool
 {
@@ -130,6 +141,9 @@
     std::vector<traffic_class> classes;
     /// Names of the entry instances that operators are taking out of service.
     std::vector<std::string> draining_instances;
+    /// Names of the entry instances that the document lists although they are active; the
+    /// entries have no effect.
+    std::vector<std::string> listed_active_instances;
 };
 
 } // namespace kumquatpath
--- a/src/model/configured_state.cpp
+++ b/src/model/configured_state.cpp
@@ -25,10 +25,6 @@
     return found == config.services.end() ? service{} : *found;
 }
 
-/// The number of concurrent connections of a target that count as one slot, which is one
-/// request processed at a time.
-constexpr std::uint32_t connections_per_slot = 2000;
-
 target_record record_of(const configuration& config, const service& owning_service,
                         const target& each)
 {
@@ -36,7 +32,7 @@
             .service = owning_service.id,
             .address = each.address,
             .data_centre = each.data_centre,
-            .slots = std::max(1U, each.connections / connections_per_slot),
+            .slots = slots_of(each),
             .is_draining = is_draining(config, each)};
 }
 
--- a/src/model/document_reader.cpp
+++ b/src/model/document_reader.cpp
@@ -356,10 +356,10 @@
                              const std::string& pointer)
     {
         object_reader object(value, pointer, instance_keys, *faults_);
-        if (object.state() == administrative_state::draining)
-        {
-            configuration_.draining_instances.emplace_back(name);
-        }
+        const bool is_draining = object.state() == administrative_state::draining;
+        (is_draining ? configuration_.draining_instances
+                     : configuration_.listed_active_instances)
+            .emplace_back(name);
     };
     for_each_entry(root_.object("instances", false), root_.pointer_of("instances"), read);
 }
