Client: check lists warnings and compares with the configuration in force

Cause: operators want to see, before a document is sent, also entries without effect, contradictions and what differs from the configuration in force.

Ruled out: a code of its own for warnings in any case, since scripts that run `check && apply` take 0 for "valid"; a code of its own for a comparison that failed, since 3 ("the platform is unavailable") is true of it.

The JSON output keeps "faults" and gains "warnings" and "comparison". A damaged configuration in force is a reason not to compare, and no longer looks like a fault of the file.

--- a/src/client/command_line.cpp
+++ b/src/client/command_line.cpp
@@ -64,6 +64,8 @@
         add_if(entry, argument::author, author_);
         add_if(entry, argument::last, last_);
         add_if(entry, argument::instances, instances_);
+        add_if(entry, argument::check_demands, strict_);
+        add_if(entry, argument::check_demands, compare_);
     }
 
     leaf::result<command_options> parse(const verb_entry& entry,
@@ -89,6 +91,8 @@
         options.wait = wait_.getValue();
         options.timeout = std::chrono::seconds(timeout_.getValue());
         options.last = last_.getValue();
+        options.strict = strict_.getValue();
+        options.compare = compare_.getValue();
         options.instances = instances_.getValue();
         if (options.instances.empty() && !environment.instance.empty())
         {
@@ -165,6 +169,8 @@
     text_option author_{"", "author", "who submits the change", false, "", "NAME"};
     TCLAP::MultiArg<std::string> instances_{"", "instance", "an instance to query", false,
                                             "ip:port"};
+    TCLAP::SwitchArg strict_{"", "strict", "fail if there are warnings"};
+    TCLAP::SwitchArg compare_{"", "compare", "fail if the document cannot be compared"};
     number_option last_{"", "last", "number of generations to list", false, 20, "COUNT"};
 };
 
--- a/src/client/command_line.hpp
+++ b/src/client/command_line.hpp
@@ -68,6 +68,10 @@
     /// Addresses, as "ip:port", at which instances serve their status and metrics. The
     /// client also queries the peers that these instances report.
     std::vector<std::string> instances;
+    /// Whether warnings make a check fail.
+    bool strict = false;
+    /// Whether a check fails if the document cannot be compared.
+    bool compare = false;
     /// Number of generations that the history lists.
     std::uint64_t last = 20;
 };
--- a/src/client/commands.hpp
+++ b/src/client/commands.hpp
@@ -72,6 +72,7 @@
     boost::json::value document;
     /// The value of base_key; nothing if the file does not have it.
     std::optional<generation> base;
+    configuration checked_configuration;
 };
 
 /// Parses and checks \p text. Fails with configuration_faults.
--- a/src/client/exit_code.hpp
+++ b/src/client/exit_code.hpp
@@ -17,6 +17,7 @@
     /// The command line is invalid, or a file that it names cannot be read.
     usage = 2,
     /// The platform could not be reached or gave no valid response. Nothing was changed.
+    /// From `check --compare`: the document could not be compared.
     platform_unavailable = 3,
     /// Another operator changed the same objects, or concurrent submissions prevented
     /// every attempt to publish.
@@ -27,6 +28,8 @@
     /// The edit was published, but --wait timed out before every reachable instance had
     /// it in force.
     not_in_force = 6,
+    /// `check --strict` found warnings in a document without faults.
+    warnings = 7,
 };
 
 } // namespace kumquatpath
--- a/src/client/queries.cpp
+++ b/src/client/queries.cpp
@@ -65,17 +65,23 @@
     return document;
 }
 
-leaf::result<document_diff> diff(key_value_store& store, std::string_view text)
+leaf::result<document_diff> difference_from_current(key_value_store& store,
+                                                    const json::value& document)
 {
-    BOOST_LEAF_AUTO(file, read_document(text));
     BOOST_LEAF_AUTO(current, read_current(store));
     if (!current)
     {
-        return document_diff{.changes = changes_between(json::object(), file.document)};
+        return document_diff{.changes = changes_between(json::object(), document)};
     }
     return document_diff{.in_force = current->envelope.generation,
                          .changes =
-                             changes_between(current->envelope.document, file.document)};
+                             changes_between(current->envelope.document, document)};
+}
+
+leaf::result<document_diff> diff(key_value_store& store, std::string_view text)
+{
+    BOOST_LEAF_AUTO(file, read_document(text));
+    return difference_from_current(store, file.document);
 }
 
 leaf::result<std::vector<history_entry>> history(key_value_store& store,
--- a/src/client/queries.hpp
+++ b/src/client/queries.hpp
@@ -9,6 +9,7 @@
 #include <kumquatpath/edge/key_value_store.hpp>
 #include <kumquatpath/model/document_difference.hpp>
 
+#include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
 #include <boost/leaf/result.hpp>
 
@@ -39,6 +40,12 @@
     std::vector<object_change> changes;
 };
 
+/// Compares \p document, which must have passed the check, with the configuration in
+/// force. Fails with the store's failures, and with configuration_faults if the stored
+/// value is damaged.
+boost::leaf::result<document_diff>
+difference_from_current(key_value_store& store, const boost::json::value& document);
+
 /// Compares the document in \p text with the configuration in force. Fails with
 /// configuration_faults and the store's failures.
 boost::leaf::result<document_diff> diff(key_value_store& store, std::string_view text);
@@ -64,6 +71,9 @@
 /// Prints the document in the form that apply() reads or, as JSON, with its envelope.
 void print_show(std::ostream& out, const configuration_envelope& envelope, bool as_json);
 
+/// Returns \p difference in the form that print_diff() prints as JSON.
+boost::json::object to_json(const document_diff& difference);
+
 /// Prints each changed object with the members that differ.
 void print_diff(std::ostream& out, const document_diff& difference, bool as_json);
 
--- a/src/client/queries_output.cpp
+++ b/src/client/queries_output.cpp
@@ -120,13 +120,17 @@
         << '\n';
 }
 
+json::object to_json(const document_diff& difference)
+{
+    return {{"generation", difference.in_force.value},
+            {"changes", to_json(difference.changes)}};
+}
+
 void print_diff(std::ostream& out, const document_diff& difference, bool as_json)
 {
     if (as_json)
     {
-        out << json::serialize(json::object{{"generation", difference.in_force.value},
-                                            {"changes", to_json(difference.changes)}})
-            << '\n';
+        out << json::serialize(to_json(difference)) << '\n';
         return;
     }
     out << (difference.in_force.value == 0
--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -122,16 +122,26 @@
     verb_entry{
         .verb = verb::check,
         .name = "check",
-        .arguments = argument_set(argument::file),
-        .synopsis = "check FILE",
-        .summary = "list every fault in a document; needs no platform",
+        .arguments = argument_set(argument::file, argument::check_demands),
+        .synopsis = "check FILE [--strict] [--compare]",
+        .summary = "list faults and warnings; needs no platform",
         .help =
-            R"(Reads FILE and lists every fault with its location as a JSON pointer and a way to fix it.
-Exits with 0 if FILE has no fault and with 1 otherwise. Needs no platform.
+            R"(Reads FILE ("-": the standard input) and lists every fault with its location as a JSON
+pointer and a way to fix it. If there is none, lists warnings: entries that have no effect,
+and limits that contradict each other. Then shows what `kumquatpath diff FILE` shows if a
+platform is set and responds within 2 s, or else why the document was not compared.
+
+Exits with 1 if FILE has faults. Otherwise exits with 0, also with warnings and without a
+comparison, unless these options ask for more:
+
+  --strict   exit with 7 if there are warnings
+  --compare  exit with 3 if the document could not be compared, and with 2 if no platform
+             is set
 
 Examples:
   kumquatpath check site.json
   kumquatpath check site.json --json
+  kumquatpath check site.json --strict --compare && kumquatpath apply site.json
 )"},
     verb_entry{
         .verb = verb::show,
@@ -229,11 +239,13 @@
   1  refused: the document has faults, or the request cannot be met; from status: an
      instance is behind or cannot be reached
   2  invalid command line, or a file cannot be read
-  3  the platform is unavailable; nothing was changed
+  3  the platform is unavailable; nothing was changed. From check --compare: the document
+     could not be compared
   4  conflict: another operator changed the same objects, which are named, or concurrent
      submissions prevented every attempt to publish
   5  outcome unknown: the platform became unreachable during a write
   6  published, but --wait timed out before every reachable instance had it in force
+  7  from check --strict: the document is valid, but there are warnings
 )";
 
 constexpr std::string_view first_steps = R"(
--- a/src/client/verb_table.hpp
+++ b/src/client/verb_table.hpp
@@ -32,6 +32,8 @@
     last = 1U << 7U,
     cut_flows = 1U << 8U,
     instances = 1U << 9U,
+    /// --strict and --compare.
+    check_demands = 1U << 10U,
 };
 
 /// A verb and its description.
