Model: warm-up keys of a service in the native configuration

Cause: the warm-up policy of a service came from the platform adapter only. Targets of a configuration document could not have one, and since they do not announce themselves, nothing said when they are cold.

Ruled out: taking every target that an instance has not seen for cold (a restarted instance would take all of them for cold), and the start time as the incarnation (a change of it means a restart to open flows). See docs/design/warm-up.md, "The native interface".

Change: the keys warm_up_s and warm_up_requests_per_second. The stored value names the targets that an edit lets take new flows, with the time (warming); instances derive from it the warm-up that is left. The key is absent while no target warms up, so releases without it read such values. Two rules of the review concern the new keys. The fuzz target covers the keys and the review.

Conclusion: whole for a document's targets; the case that is not recognised (a target added by one edit and moved by the very next) is in the design note.

--- a/fuzz/configuration_fuzz.cpp
+++ b/fuzz/configuration_fuzz.cpp
@@ -8,6 +8,7 @@
 #include <kumquatpath/model/configuration_check.hpp>
 #include <kumquatpath/model/configuration_envelope.hpp>
 #include <kumquatpath/model/configuration_query.hpp>
+#include <kumquatpath/model/configuration_review.hpp>
 
 #include <boost/json/parse.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -63,6 +64,16 @@
     }
 }
 
+/// Requires that each warning about an accepted document names its place and cause.
+void require_located_warnings(const configuration& config)
+{
+    for (const configuration_warning& each : review_configuration(config))
+    {
+        require(!each.pointer.empty(), "every warning has a pointer");
+        require(!each.description.empty(), "every warning has a description");
+    }
+}
+
 /// Requires that an accepted document stays unchanged when it is written to an envelope
 /// and parsed again.
 leaf::result<void> require_round_trip(const std::string& text)
@@ -106,6 +117,7 @@
         {
             BOOST_LEAF_AUTO(config, check_document(text));
             require_references(config);
+            require_located_warnings(config);
             ++accepted_documents;
             return require_round_trip(text);
         });
@@ -128,14 +140,15 @@
         R"("state":"draining"}},"pools":{"p":{"targets":{"t1":{"address":)"
         R"("127.0.0.1:9001","data_centre":"a","connections":6000},"t2":{"address":)"
         R"("127.0.0.1:9002","data_centre":"b","state":"active"}}}},"services":{"s":)"
-        R"({"pool":"p","flow_lifetime_s":100,"requests_per_second":5}},"listeners":)"
+        R"({"pool":"p","flow_lifetime_s":100,"requests_per_second":5,)"
+        R"("warm_up_s":30,"warm_up_requests_per_second":5}},"listeners":)"
         R"({"l":{"address":"127.0.0.1:7001","kind":"datagram","service":"s"}},)"
         R"("tenants":{"n":{"id":1}},"classes":{"c":{"id":1,"priority":2,)"
         R"("repeatable":true,"deadline_ms":2000}},"instances":{"i":{"state":)"
         R"("draining"}}})";
     const std::string envelope =
         R"({"generation":7,"submission":"x","author":"y","submitted_at_ms":1000,)"
-        R"("retired":{"t3":900},)"
+        R"("retired":{"t3":900},"warming":{"t1":900},)"
         R"("document":)" +
         document + '}';
     const kumquatpath::fuzz::corpus seed_corpus = {.inputs = {document, envelope},
--- a/include/kumquatpath/model/configuration.hpp
+++ b/include/kumquatpath/model/configuration.hpp
@@ -47,6 +47,9 @@
     administrative_state state = administrative_state::active;
     /// The maximum number of concurrent flows, over all slots of the target.
     std::uint32_t connections = 6000;
+    /// When the target is fully warm after it began to take new flows. The epoch unless
+    /// the stored configuration says that the target warms up.
+    wall_time warm_up_until;
 };
 
 /// The number of concurrent connections of a target that count as one slot, which is one
@@ -82,6 +85,12 @@
     /// Limit on new flows per second to the service, over the whole fleet; 0 means no
     /// limit. Named after the key of the document.
     std::uint32_t requests_per_second = 0;
+    /// How long a target of the service warms up after it began to take new flows; 0
+    /// means not at all.
+    std::chrono::seconds warm_up{0};
+    /// Limit on the new flows per second that one target gets from the whole fleet while
+    /// it warms up; 0 means no limit. Named after the key of the document.
+    std::uint32_t warm_up_requests_per_second = 0;
 };
 
 /// The kind of transport between a listener and its callers.
--- a/include/kumquatpath/model/configuration_envelope.hpp
+++ b/include/kumquatpath/model/configuration_envelope.hpp
@@ -27,9 +27,15 @@
 /// difference between the wall clocks of the clients.
 inline constexpr std::chrono::seconds retention_clock_margin{60};
 
+/// Wall-clock times by the names of targets.
+using named_times = std::map<std::string, wall_time, std::less<>>;
+
 /// The targets that no longer accept new flows but may still hold open ones: by name, the
 /// last time at which each accepted new flows.
-using retired_targets = std::map<std::string, wall_time, std::less<>>;
+using retired_targets = named_times;
+
+/// The targets that began to take new flows and warm up: by name, when they began.
+using start_times = named_times;
 
 /// An accepted configuration as the store holds it.
 struct configuration_envelope
@@ -39,6 +45,7 @@
     std::string author;
     wall_time submitted_at;
     retired_targets retired;
+    start_times warming;
     boost::json::value document;
     /// The configuration read from the document, including generation and submission.
     configuration checked_configuration;
@@ -69,7 +76,9 @@
 /// Fails with configuration_faults, or with flows_at_risk unless the request permits such
 /// a change. The generation is one more than the previous one. A target that stops
 /// accepting new flows stays listed as retired for the longest flow lifetime plus
-/// retention_clock_margin. The submission time never decreases from one envelope to the
+/// retention_clock_margin. A target that begins to take new flows is listed as warming
+/// until the warm-up of its service is over, except those of the first envelope: they may
+/// have served for long. The submission time never decreases from one envelope to the
 /// next, even if the clock of a client is behind.
 boost::leaf::result<configuration_envelope>
 next_envelope(const configuration_envelope* previous, submission_request request,
--- a/include/kumquatpath/model/configuration_review.hpp
+++ b/include/kumquatpath/model/configuration_review.hpp
@@ -48,6 +48,10 @@
     lifetime_below_goal,
     /// A flow lifetime shorter than the deadline of every class.
     lifetime_below_deadlines,
+    /// A limit during a warm-up that takes no time.
+    warm_up_limit_without_time,
+    /// A limit during a warm-up above the limit of the service.
+    warm_up_limit_without_effect,
 };
 
 /// One warning about a configuration, with its location.
--- a/include/kumquatpath/model/configured_state.hpp
+++ b/include/kumquatpath/model/configured_state.hpp
@@ -13,12 +13,13 @@
 namespace kumquatpath
 {
 
-/// Returns the routes, rate limits and draining instances of \p config.
+/// Returns the routes, rate limits, warm-up policies and draining instances of \p config.
 routing_table routing_table_of(const configuration& config);
 
 /// Returns a record for each target of each service of \p config. A record is
-/// marked as draining if the target or its data centre is draining.
-std::vector<target_record> target_records_of(const configuration& config);
+/// marked as draining if the target or its data centre is draining. Its warm-up is what
+/// is left of it at \p now, and never more than the service's.
+std::vector<target_record> target_records_of(const configuration& config, wall_time now);
 
 /// Returns the key of the target named \p name, which is a hash of the name.
 target_key target_key_of(std::string_view name);
--- a/src/model/configuration_envelope.cpp
+++ b/src/model/configuration_envelope.cpp
@@ -1,6 +1,7 @@
 #include "model/flows_at_risk.hpp"
 #include "model/json_parse.hpp"
 #include "model/object_reader.hpp"
+#include "model/warming_targets.hpp"
 
 #include <kumquatpath/model/configuration_check.hpp>
 #include <kumquatpath/model/configuration_envelope.hpp>
@@ -21,9 +22,9 @@
 using fault_kind = configuration_fault_kind;
 using key = std::string_view;
 
-constexpr std::array envelope_keys = {key("generation"), key("submission"),
-                                      key("author"),     key("submitted_at_ms"),
-                                      key("retired"),    key("document")};
+constexpr std::array envelope_keys = {
+    key("generation"), key("submission"), key("author"),  key("submitted_at_ms"),
+    key("retired"),    key("warming"),    key("document")};
 constexpr std::uint64_t max_generation = std::numeric_limits<std::int64_t>::max();
 
 /// The latest wall-clock time that is accepted, in milliseconds since 1970: the end of
@@ -78,32 +79,34 @@
     return retired;
 }
 
-json::object write_retired_targets(const retired_targets& retired)
+json::object write_times(const named_times& times)
 {
     json::object written;
-    for (const auto& [name, since] : retired)
+    for (const auto& [name, since] : times)
     {
         written[name] = since.time_since_epoch().count();
     }
     return written;
 }
 
-/// Parses the output of write_retired_targets(). Appends any faults to \p faults.
-retired_targets read_retired_targets(const json::value& section, fault_list& faults)
+/// Parses the output of write_times(), which is at \p pointer. Appends any faults to
+/// \p faults.
+named_times read_times(const json::value& section, const std::string& pointer,
+                       fault_list& faults)
 {
     std::vector<key> names;
     for (const auto& member : section.get_object())
     {
         names.push_back(member.key());
     }
-    object_reader object(section, "/retired", names, faults);
-    retired_targets retired;
+    object_reader object(section, pointer, names, faults);
+    named_times times;
     for (const key name : names)
     {
-        retired[std::string(name)] =
+        times[std::string(name)] =
             wall_time_of(object.number(name, {.maximum = latest_wall_time_ms}));
     }
-    return retired;
+    return times;
 }
 
 } // namespace
@@ -122,25 +125,32 @@
     if (previous != nullptr)
     {
         next.retired = next_retired_targets(*previous, next);
+        next.warming = next_warming_targets(*previous, next);
         auto at_risk = targets_with_flows_at_risk(*previous, next);
         if (!at_risk.empty() && !request.may_cut_flows)
         {
             return boost::leaf::new_error(flows_at_risk{std::move(at_risk)});
         }
     }
+    set_warm_ups(next.checked_configuration, next.warming);
     copy_generation_and_submission(next);
     return next;
 }
 
 boost::leaf::result<std::string> write_envelope(const configuration_envelope& envelope)
 {
-    const json::object stored = {
+    json::object stored = {
         {"generation", envelope.generation.value},
         {"submission", envelope.submission},
         {"author", envelope.author},
         {"submitted_at_ms", envelope.submitted_at.time_since_epoch().count()},
-        {"retired", write_retired_targets(envelope.retired)},
+        {"retired", write_times(envelope.retired)},
         {"document", envelope.document}};
+    // Releases that do not know the key read the other envelopes.
+    if (!envelope.warming.empty())
+    {
+        stored["warming"] = write_times(envelope.warming);
+    }
     std::string text = json::serialize(stored);
     if (text.size() > max_stored_value_bytes)
     {
@@ -169,6 +179,7 @@
     envelope.submitted_at =
         wall_time_of(object.number("submitted_at_ms", {.maximum = latest_wall_time_ms}));
     const json::object* const retired = object.object("retired", true);
+    const json::object* const warming = object.object("warming", false);
     const json::object* const document = object.object("document", true);
     if (!faults.empty() || document == nullptr || retired == nullptr)
     {
@@ -177,11 +188,16 @@
     envelope.document = *document;
     BOOST_LEAF_ASSIGN(envelope.checked_configuration,
                       check_document(envelope.document, "/document"));
-    envelope.retired = read_retired_targets(*object.find("retired"), faults);
+    envelope.retired = read_times(*object.find("retired"), "/retired", faults);
+    if (warming != nullptr)
+    {
+        envelope.warming = read_times(*object.find("warming"), "/warming", faults);
+    }
     if (!faults.empty())
     {
         return boost::leaf::new_error(configuration_faults{std::move(faults)});
     }
+    set_warm_ups(envelope.checked_configuration, envelope.warming);
     copy_generation_and_submission(envelope);
     return envelope;
 }
--- a/src/model/configuration_review.cpp
+++ b/src/model/configuration_review.cpp
@@ -46,6 +46,12 @@
     review_rule{kind::lifetime_below_deadlines, "lifetime_below_deadlines",
                 "Raise the flow lifetime, or lower the deadline of a class.",
                 review::lifetimes_below_deadlines},
+    review_rule{kind::warm_up_limit_without_time, "warm_up_limit_without_time",
+                "Set \"warm_up_s\", or remove the limit.",
+                review::warm_up_limits_without_time},
+    review_rule{kind::warm_up_limit_without_effect, "warm_up_limit_without_effect",
+                "Lower this limit, or raise that of the service.",
+                review::warm_up_limits_without_effect},
 };
 
 constexpr bool is_ordered_by_kind()
--- a/src/model/configured_state.cpp
+++ b/src/model/configured_state.cpp
@@ -25,15 +25,25 @@
     return found == config.services.end() ? service{} : *found;
 }
 
+/// Returns the warm-up of \p each that is left at \p now. A wall clock that is behind
+/// does not make it longer than the service's.
+std::chrono::milliseconds warm_up_left(const service& owning_service, const target& each,
+                                       wall_time now)
+{
+    return std::clamp<std::chrono::milliseconds>(
+        each.warm_up_until - now, std::chrono::milliseconds(0), owning_service.warm_up);
+}
+
 target_record record_of(const configuration& config, const service& owning_service,
-                        const target& each)
+                        const target& each, wall_time now)
 {
     return {.key = target_key_of(each.name),
             .service = owning_service.id,
             .address = each.address,
             .data_centre = each.data_centre,
             .slots = slots_of(each),
-            .is_draining = is_draining(config, each)};
+            .is_draining = is_draining(config, each),
+            .warm_up_left = warm_up_left(owning_service, each, now)};
 }
 
 } // namespace
@@ -51,6 +61,16 @@
                   .latency_goal = owning_service.latency_goal,
                   .flows_per_second = owning_service.requests_per_second});
     }
+    for (const service& each : config.services)
+    {
+        const warm_up_policy policy{.duration = each.warm_up,
+                                    .flows_per_second =
+                                        double(each.warm_up_requests_per_second)};
+        if (policy != warm_up_policy{})
+        {
+            table.warm_ups[each.id] = policy;
+        }
+    }
     for (const tenant& each : config.tenants)
     {
         table.tenant_limits[each.id.value] = each.requests_per_second;
@@ -68,14 +88,14 @@
     return table;
 }
 
-std::vector<target_record> target_records_of(const configuration& config)
+std::vector<target_record> target_records_of(const configuration& config, wall_time now)
 {
     std::vector<target_record> records;
     for (const service& owning_service : config.services)
     {
         for (const target& each : config.pools[owning_service.pool].targets)
         {
-            records.push_back(record_of(config, owning_service, each));
+            records.push_back(record_of(config, owning_service, each, now));
         }
     }
     return records;
--- a/src/model/document_reader.cpp
+++ b/src/model/document_reader.cpp
@@ -275,6 +275,11 @@
             "latency_goal_ms", {.maximum = max_latency_goal_ms, .fallback = 0}));
         entry.requests_per_second =
             static_cast<std::uint32_t>(object.number("requests_per_second", rate_rule));
+        entry.warm_up = std::chrono::seconds(
+            object.number("warm_up_s", {.maximum = max_warm_up_s, .fallback = 0}));
+        entry.warm_up_requests_per_second = static_cast<std::uint32_t>(
+            object.number("warm_up_requests_per_second",
+                          {.maximum = max_warm_up_requests_per_second, .fallback = 0}));
         configuration_.services.push_back(std::move(entry));
     };
     for_each_entry(section, root_.pointer_of("services"), read);
--- a/src/model/document_schema.hpp
+++ b/src/model/document_schema.hpp
@@ -19,6 +19,8 @@
 inline constexpr std::uint64_t max_requests_per_second = 10'000'000;
 inline constexpr std::uint64_t max_flow_lifetime_s = 604'800;
 inline constexpr std::uint64_t max_latency_goal_ms = 600'000;
+inline constexpr std::uint64_t max_warm_up_s = 3600;
+inline constexpr std::uint64_t max_warm_up_requests_per_second = 1'000'000;
 inline constexpr std::uint64_t max_deadline_ms = 600'000;
 /// Priority 0 is the most urgent; a larger number is a lower priority.
 inline constexpr std::uint64_t lowest_priority = std::numeric_limits<std::uint8_t>::max();
@@ -36,9 +38,12 @@
 inline constexpr std::array pool_keys = {key("targets")};
 inline constexpr std::array target_keys = {key("address"), key("data_centre"),
                                            key("state"), key("connections")};
-inline constexpr std::array service_keys = {key("pool"), key("flow_lifetime_s"),
+inline constexpr std::array service_keys = {key("pool"),
+                                            key("flow_lifetime_s"),
                                             key("latency_goal_ms"),
-                                            key("requests_per_second")};
+                                            key("requests_per_second"),
+                                            key("warm_up_s"),
+                                            key("warm_up_requests_per_second")};
 inline constexpr std::array listener_keys = {key("address"), key("kind"), key("service")};
 inline constexpr std::array tenant_keys = {key("id"), key("requests_per_second")};
 inline constexpr std::array class_keys = {key("id"), key("priority"), key("repeatable"),
--- a/src/model/review_limits.cpp
+++ b/src/model/review_limits.cpp
@@ -30,20 +30,37 @@
     return std::to_string(time.count()) + " s";
 }
 
+using listener_counts = boost::unordered_flat_map<std::uint32_t, std::uint64_t>;
+
+/// Returns the number of listeners by the id of their service.
+listener_counts count_listeners(const configuration& config)
+{
+    listener_counts counts;
+    for (const listener& each : config.listeners)
+    {
+        ++counts[each.service.value];
+    }
+    return counts;
+}
+
+/// Returns the limits of the listeners of \p each together, in new flows per second; 0 if
+/// they have none.
+std::uint64_t limit_of_listeners(const service& each, const listener_counts& counts)
+{
+    const auto found = counts.find(each.id.value);
+    return found == counts.end() ? 0 : found->second * each.requests_per_second;
+}
+
 /// Returns the limits of all listeners together, in new flows per second. Returns nothing
 /// if there is no listener or if one of them has no limit.
 std::optional<std::uint64_t> limit_of_all_listeners(const configuration& config)
 {
-    boost::unordered_flat_map<std::uint32_t, std::uint32_t> limits;
-    for (const service& each : config.services)
-    {
-        limits[each.id.value] = each.requests_per_second;
-    }
+    const listener_counts counts = count_listeners(config);
     std::uint64_t sum = 0;
-    for (const listener& each : config.listeners)
+    for (const service& each : config.services)
     {
-        const std::uint32_t limit = limits[each.service.value];
-        if (limit == 0)
+        const std::uint64_t limit = limit_of_listeners(each, counts);
+        if (limit == 0 && counts.contains(each.id.value))
         {
             return std::nullopt;
         }
@@ -228,4 +245,44 @@
     return found;
 }
 
+warning_list warm_up_limits_without_time(const configuration& config)
+{
+    warning_list found;
+    for (const service& each : config.services)
+    {
+        if (each.warm_up_requests_per_second > 0 && each.warm_up.count() == 0)
+        {
+            found.push_back(
+                {.pointer =
+                     pointer_to_key("services", each.name, "warm_up_requests_per_second"),
+                 .description = "The limit during a warm-up has no effect, because the "
+                                "targets of the service \"" +
+                                each.name + "\" do not warm up."});
+        }
+    }
+    return found;
+}
+
+warning_list warm_up_limits_without_effect(const configuration& config)
+{
+    const listener_counts counts = count_listeners(config);
+    warning_list found;
+    for (const service& each : config.services)
+    {
+        const std::uint64_t limit = limit_of_listeners(each, counts);
+        if (limit > 0 && each.warm_up_requests_per_second > limit)
+        {
+            found.push_back(
+                {.pointer =
+                     pointer_to_key("services", each.name, "warm_up_requests_per_second"),
+                 .description = "The limit of " +
+                                std::to_string(each.warm_up_requests_per_second) +
+                                " new flows a second to one target is never reached: the "
+                                "service accepts at most " +
+                                std::to_string(limit) + '.'});
+        }
+    }
+    return found;
+}
+
 } // namespace kumquatpath::review
--- a/src/model/review_rules.hpp
+++ b/src/model/review_rules.hpp
@@ -26,6 +26,8 @@
 warning_list deadlines_below_goals(const configuration& config);
 warning_list lifetimes_below_goals(const configuration& config);
 warning_list lifetimes_below_deadlines(const configuration& config);
+warning_list warm_up_limits_without_time(const configuration& config);
+warning_list warm_up_limits_without_effect(const configuration& config);
 
 } // namespace kumquatpath::review
 
--- a/test/model/configuration_review_test.cpp
+++ b/test/model/configuration_review_test.cpp
@@ -124,6 +124,18 @@
                  [](boost::json::value& document)
                  { at(document, "services", "s", "flow_lifetime_s") = 1; },
                  "/services/s/flow_lifetime_s"},
+    rule_example{kind::warm_up_limit_without_time,
+                 [](boost::json::value& document)
+                 { at(document, "services", "s", "warm_up_requests_per_second") = 5; },
+                 "/services/s/warm_up_requests_per_second"},
+    rule_example{kind::warm_up_limit_without_effect,
+                 [](boost::json::value& document)
+                 {
+                     at(document, "services", "s", "requests_per_second") = 100;
+                     at(document, "services", "s", "warm_up_s") = 30;
+                     at(document, "services", "s", "warm_up_requests_per_second") = 101;
+                 },
+                 "/services/s/warm_up_requests_per_second"},
 };
 
 configuration parse(const boost::json::value& document)
@@ -326,6 +338,21 @@
     STRCMP_EQUAL("", warnings_in(document).c_str());
 }
 
+TEST(configuration_review, a_warm_up_limit_is_compared_with_all_listeners_of_its_service)
+{
+    at(document, "services", "s", "warm_up_s") = 30;
+    at(document, "services", "s", "warm_up_requests_per_second") = 200;
+    STRCMP_EQUAL("", warnings_in(document).c_str());
+
+    at(document, "services", "s", "requests_per_second") = 100;
+    add_listener(document, "s");
+    STRCMP_EQUAL("", warnings_in(document).c_str());
+
+    at(document, "services", "s", "warm_up_requests_per_second") = 201;
+    STRCMP_EQUAL("warm_up_limit_without_effect /services/s/warm_up_requests_per_second\n",
+                 warnings_in(document).c_str());
+}
+
 TEST(configuration_review, a_goal_that_one_class_allows_is_no_contradiction)
 {
     at(document, "services", "s", "latency_goal_ms") = 2000;
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -1,7 +1,9 @@
 /// \file
 /// Tests of store_client as a state_source, against a server with prepared responses.
 
+#include <kumquatpath/decision/warm_up_allowance.hpp>
 #include <kumquatpath/model/configuration_envelope.hpp>
+#include <kumquatpath/model/configured_state.hpp>
 
 #include <boost/leaf/handle_errors.hpp>
 
@@ -210,6 +212,44 @@
     UNSIGNED_LONGS_EQUAL(2, state->update.targets.size());
 }
 
+TEST(store_client, a_target_that_a_native_configuration_added_warms_up_with_its_limit)
+{
+    boost::json::value document = small_document();
+    at(document, "services", "s", "warm_up_s") = 600;
+    at(document, "services", "s", "warm_up_requests_per_second") = 5;
+    const auto submitted_at = std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now() - 100s);
+    const auto first = next_envelope(nullptr, {.document = document}, submitted_at);
+    at(document, "pools", "p", "targets", "t3") =
+        boost::json::object{{"address", "127.0.0.1:9003"}, {"data_centre", "a"}};
+    const auto second = next_envelope(&*first, {.document = document}, submitted_at);
+    canned_server server({{http_response_text(
+        200, R"({"events":[)" +
+                 item_json("kumquatpath/configuration", *write_envelope(*second), 8) +
+                 R"(],"at":8})")}});
+    store_client client(server.address(), configuration_origin::native);
+    const auto state = client.wait_for_changes({6}, 100ms);
+    CHECK_TRUE(static_cast<bool>(state));
+
+    const warm_up_policy* const policy =
+        find_warm_up_policy(*state->configuration->table, id_of<service_id>("s"));
+    target_directory directory;
+    const time_point now{1h};
+    std::size_t limited_targets = 0;
+    for (const target_change& each : state->update.targets)
+    {
+        const bool is_added = each.key == target_key_of("t3");
+        CHECK_TRUE(apply_change(directory, each, now));
+        const known_target& known =
+            directory.targets[directory.by_key.at(each.key.value)];
+        CHECK_TRUE(has_warm_up_limit(known, policy, now) == is_added);
+        CHECK_TRUE(has_warm_up_limit(known, policy, now + 450s) == is_added);
+        CHECK_FALSE(has_warm_up_limit(known, policy, now + 500s));
+        limited_targets += is_added ? 1U : 0U;
+    }
+    UNSIGNED_LONGS_EQUAL(1, limited_targets);
+}
+
 TEST(store_client, a_listing_with_an_unreadable_native_configuration_removes_no_target)
 {
     canned_server server({{http_response_text(
