--- a/include/kumquatpath/model/configuration.hpp
+++ b/include/kumquatpath/model/configuration.hpp
@@ -62,7 +62,8 @@
     return std::max(1U, each.connections / connections_per_slot);
 }
 
-/// A set of targets that serve the same services.
+/// A set of targets that serve the same service. Of several services that name one pool,
+/// only the first gets its targets.
 struct target_pool
 {
     std::string name;
