--- a/include/kumquatpath/model/configuration.hpp
+++ b/include/kumquatpath/model/configuration.hpp
@@ -12,6 +12,7 @@
 #include <kumquatpath/model/ids.hpp>
 #include <kumquatpath/model/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -46,9 +47,23 @@
     administrative_state state = administrative_state::active;
     /// The maximum number of concurrent flows, over all slots of the target.
     std::uint32_t connections = 6000;
+    /// When the target is fully warm after it began to take new flows. The epoch unless
+    /// the stored configuration says that the target warms up.
+    wall_time warm_up_until;
 };
 
-/// A set of targets that serve the same services.
+/// The number of concurrent connections of a target that count as one slot, which is one
+/// request processed at a time.
+inline constexpr std::uint32_t connections_per_slot = 2000;
+
+/// Returns the number of requests that \p each processes at a time; at least 1.
+constexpr std::uint32_t slots_of(const target& each) noexcept
+{
+    return std::max(1U, each.connections / connections_per_slot);
+}
+
+/// A set of targets that serve the same service. Of several services that name one pool,
+/// only the first gets its targets.
 struct target_pool
 {
     std::string name;
@@ -71,6 +86,12 @@
     /// Limit on new flows per second to the service, over the whole fleet; 0 means no
     /// limit. Named after the key of the document.
     std::uint32_t requests_per_second = 0;
+    /// How long a target of the service warms up after it began to take new flows; 0
+    /// means not at all.
+    std::chrono::seconds warm_up{0};
+    /// Limit on the new flows per second that one target gets from the whole fleet while
+    /// it warms up; 0 means no limit. Named after the key of the document.
+    std::uint32_t warm_up_requests_per_second = 0;
 };
 
 /// The kind of transport between a listener and its callers.
@@ -130,6 +151,9 @@
     std::vector<traffic_class> classes;
     /// Names of the entry instances that operators are taking out of service.
     std::vector<std::string> draining_instances;
+    /// Names of the entry instances that the document lists although they are active; the
+    /// entries have no effect.
+    std::vector<std::string> listed_active_instances;
 };
 
 } // namespace kumquatpath
