Evacuation tests: compile as Release with GCC 12

Cause: with -O3, GCC 12 reports -Wrestrict inside std::string for "d" + std::to_string(n) in two tests, and warnings are errors. Ruled out: a fault of the code; the same lines compile with -O2, and the reported offsets are impossible. Change: the names are built by append(). No check changed. Before: a Release build of decision_test failed. Conclusion: both build types compile.

--- a/test/decision/evacuations_test.cpp
+++ b/test/decision/evacuations_test.cpp
@@ -29,6 +29,11 @@
     return change;
 }
 
+std::string numbered_name(std::uint64_t number)
+{
+    return std::string("d").append(std::to_string(number));
+}
+
 state_update partial(std::vector<evacuation_change> changes, std::uint64_t position)
 {
     return {.position = {position}, .evacuations = std::move(changes)};
@@ -166,7 +171,7 @@
     std::uint64_t revision = 1;
     while (revision <= max_known_evacuations)
     {
-        apply(partial({evacuation("d" + std::to_string(revision), revision)}, revision));
+        apply(partial({evacuation(numbered_name(revision), revision)}, revision));
         ++revision;
     }
     UNSIGNED_LONGS_EQUAL(0, apply(partial({evacuation("north", revision)}, revision)));
@@ -180,7 +185,7 @@
     std::uint64_t revision = 1;
     while (revision <= max_known_evacuations)
     {
-        apply(partial({withdrawal("d" + std::to_string(revision), revision)}, revision));
+        apply(partial({withdrawal(numbered_name(revision), revision)}, revision));
         ++revision;
     }
     apply(partial({evacuation("north", revision)}, revision), revision - 1);
