Cold return test: the fleet-wide rate of cold targets with real processes

Cause: the rate of cold targets was shown only by functions without processes. Change: six instances in two data centres, an evacuated data centre whose two targets come back cold at once, and callers that send more than the targets can bear. The seeds of each half leave out the other half at first; reloaded seeds join them in the middle of the warm-up. Ruled out: a relay between the instances, since a heartbeat must come from the address in it and replies go there; a cut of halves that knew each other is therefore covered by the tests of fleet_size and warm_up_allowance only.

--- a/test/smoke/platform_path_test.py
+++ b/test/smoke/platform_path_test.py
@@ -91,11 +91,11 @@
                        "warmupLeftMs": warm_up_left_ms, "sequence": 1, "born": born})
 
 
-def configuration(version, port, services=()):
+def configuration(version, port, services=(), latency_goal_ms=250):
     """Returns a configuration with one listener, on the given port of 198.18.0.1."""
     return json.dumps({"version": version, "services": list(services), "limits": {}, "routes": [
         {"name": "r", "host": "198.18.0.1", "prefix": f"/{port}/", "kind": "idempotent",
-         "timeoutMs": 1000, "latencyGoalMs": 250, "priority": 1, "service": "web"}]})
+         "timeoutMs": 1000, "latencyGoalMs": latency_goal_ms, "priority": 1, "service": "web"}]})
 
 
 class PlatformTestBed:
@@ -111,16 +111,17 @@
         log = open(os.path.join(self.folder, f"{name}.log"), "a")
         self.processes[name] = subprocess.Popen(arguments, stdout=log, stderr=log)
 
-    def start_instance(self, name):
+    def start_instance(self, name, data_centre="north", seeds=None):
+        """Starts an instance whose seeds are the instances named, by default all."""
         address = INSTANCES[name]
         path = os.path.join(self.folder, f"{name}.json")
         # The instance ignores the ports of its seeds.
         with open(path, "w") as file:
-            json.dump({"name": name, "data_centre": "north", "data": f"{address}:7001",
+            json.dump({"name": name, "data_centre": data_centre, "data": f"{address}:7001",
                        "ready": f"{address}:7002", "ready_path": "/ready",
                        "metrics": f"{address}:7003", "peer": f"{address}:7004",
                        "peer_key": "5a" * 32, "state": STORE, "interface": "platform",
-                       "seeds": [f"{ip}:1" for ip in INSTANCES.values()]}, file)
+                       "seeds": [f"{INSTANCES[each]}:1" for each in seeds or INSTANCES]}, file)
         self.start(name, os.path.join(BUILD, "src/daemon/kumquatpathd"), path)
 
     def send(self, instance, data):
