State replies: restate the warm-ups inside make_state_reply()

Cause: the daemon had to call restate_warm_ups() on each reply; any other caller would pass on a warm-up as long as it was when announced. Change: make_state_reply() takes the present time and restates them itself. Ruled out: restating in changes_since(), which also serves listings without a time. Before: the new test of the reply fails without the call. Conclusion: no caller can forget it.

--- a/bench/hot_path_benchmark.cpp
+++ b/bench/hot_path_benchmark.cpp
@@ -126,7 +126,7 @@
     for (auto _ : state)
     {
         const auto message = encode_fleet_message(
-            {.sender = {1}, .body = make_state_reply(self, {})}, key);
+            {.sender = {1}, .body = make_state_reply(self, {}, time_point())}, key);
         bytes = message.size();
         const auto read = decode_fleet_message(message, key, max_fleet_frame_bytes);
         entry_instance receiver = make_entry_instance({.self = {2}});
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -155,8 +155,7 @@
 
 void packet_worker::process(peer_state_request&& message)
 {
-    state_reply reply = make_state_reply(self_, message.request);
-    restate_warm_ups(self_.directory, reply.update.targets, monotonic_now());
+    state_reply reply = make_state_reply(self_, message.request, monotonic_now());
     metrics_.whole_replies_sent += reply.update.is_whole ? 1U : 0U;
     message.respond(std::move(reply));
 }
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -1,5 +1,6 @@
 #include <kumquatpath/decision/cut_off.hpp>
 #include <kumquatpath/decision/entry_instance.hpp>
+#include <kumquatpath/decision/warm_up_allowance.hpp>
 
 #include <algorithm>
 
@@ -133,12 +134,14 @@
     return is_quiet || leaving_time >= max_leaving_time;
 }
 
-state_reply make_state_reply(const entry_instance& self, const state_request& request)
+state_reply make_state_reply(const entry_instance& self, const state_request& request,
+                             time_point now)
 {
     state_reply reply{.update = update_since(self.directory, request.position),
                       .configuration = self.configuration.revision};
     reply.update.evacuations = changes_since(
         self.evacuations, reply.update.is_whole ? state_revision() : request.position);
+    restate_warm_ups(self.directory, reply.update.targets, now);
     if (self.configuration.text && self.configuration.revision > request.configuration)
     {
         reply.configuration_text = *self.configuration.text;
--- a/test/decision/directory_update_test.cpp
+++ b/test/decision/directory_update_test.cpp
@@ -49,7 +49,7 @@
 
     state_update reply_of(const entry_instance& instance, std::uint64_t position)
     {
-        return make_state_reply(instance, {.position = {position}}).update;
+        return make_state_reply(instance, {.position = {position}}, now).update;
     }
 
     void ask()
--- a/test/decision/entry_instance_test.cpp
+++ b/test/decision/entry_instance_test.cpp
@@ -85,15 +85,30 @@
 TEST(entry_instance, a_state_reply_holds_only_what_the_peer_lacks)
 {
     apply_full_state(10);
-    const state_reply all = make_state_reply(self, {});
+    const state_reply all = make_state_reply(self, {}, now);
     UNSIGNED_LONGS_EQUAL(1, all.update.targets.size());
     STRCMP_EQUAL("text", all.configuration_text.c_str());
     const state_reply none =
-        make_state_reply(self, {.position = {10}, .configuration = {3}});
+        make_state_reply(self, {.position = {10}, .configuration = {3}}, now);
     UNSIGNED_LONGS_EQUAL(0, none.update.targets.size());
     STRCMP_EQUAL("", none.configuration_text.c_str());
 }
 
+// The announcement may be old when a peer asks for it.
+TEST(entry_instance, a_state_reply_has_what_is_left_of_each_warm_up)
+{
+    target_change change = announcement(1, 5);
+    change.record->warm_up_left = 10s;
+    apply_state_update(self, {.position = {10}, .is_whole = true, .targets = {change}},
+                       now);
+    now += 7s;
+    const state_reply reply = make_state_reply(self, {}, now);
+    LONGS_EQUAL(3000, reply.update.targets.at(0).record->warm_up_left.count());
+    now += 7s;
+    const state_reply late_reply = make_state_reply(self, {}, now);
+    LONGS_EQUAL(0, late_reply.update.targets.at(0).record->warm_up_left.count());
+}
+
 TEST(entry_instance, after_an_outage_expired_targets_take_flows_for_a_grace_period)
 {
     apply_full_state(10);
--- a/test/decision/evacuations_test.cpp
+++ b/test/decision/evacuations_test.cpp
@@ -292,20 +292,20 @@
 {
     apply(self, first_state());
     entry_instance newcomer = make_peer();
-    apply(newcomer, make_state_reply(self, {}).update);
+    apply(newcomer, make_state_reply(self, {}, now).update);
     CHECK_FALSE(takes_flows(newcomer, 1));
     apply(self, {.position = {12},
                  .complete_from = {10},
                  .evacuations = {withdrawal("north", 12)}});
     apply(newcomer,
-          make_state_reply(self, {.position = newcomer.directory.position}).update);
+          make_state_reply(self, {.position = newcomer.directory.position}, now).update);
     CHECK_TRUE(takes_flows(newcomer, 1));
 }
 
 TEST(evacuations_of_an_instance, do_not_return_through_a_peer_that_lags_behind)
 {
     apply(self, first_state());
-    const state_update old_reply = make_state_reply(self, {}).update;
+    const state_update old_reply = make_state_reply(self, {}, now).update;
     entry_instance restarted = make_peer();
     state_update later = first_state();
     later.position = {20};
--- a/test/decision/state_convergence_test.cpp
+++ b/test/decision/state_convergence_test.cpp
@@ -208,7 +208,7 @@
     {
         const state_revision position = instances_[asker].entry.directory.position;
         state_update update =
-            make_state_reply(instances_[peer].entry, {.position = position}).update;
+            make_state_reply(instances_[peer].entry, {.position = position}, now_).update;
         check_completeness(update);
         const bool is_of_older_release = draw(8) == 0;
         if (is_of_older_release)
@@ -374,7 +374,8 @@
         {
             const state_request request{.position = each.entry.directory.position};
             apply_state_update(
-                each.entry, make_state_reply(instances_[0].entry, request).update, now_);
+                each.entry, make_state_reply(instances_[0].entry, request, now_).update,
+                now_);
             for (std::uint64_t key = 1; key <= key_count; ++key)
             {
                 const known_target* const target = held(each.entry, key);
