Warm-up metrics and log: follow a policy's shorter duration

Cause: /metrics (targets_in_warm_up) and the event targets_cold passed no policy, so a target counted as cold until its announced end, although a shorter duration of its service's policy had ended its limit. Change: one function of the decision layer, summarize_warm_ups(), for both. Ruled out: two loops with a policy each. Before: the new test saw a warm-up 5 s after a policy of 5 s. After: 292 decision tests pass. Conclusion: both show the warm-ups that the limit sees.

--- a/include/kumquatpath/decision/entry_instance.hpp
+++ b/include/kumquatpath/decision/entry_instance.hpp
@@ -104,8 +104,8 @@
 /// packets, or the maximum leaving time has passed.
 bool may_exit(const entry_instance& self, time_point now);
 
-/// Returns the state that is newer than the revisions in \p request. Each warm-up in it has
-/// the time that is left at \p now, since its announcement may be old.
+/// Returns the state that is newer than the revisions in \p request. Each warm-up in it
+/// has the time that is left at \p now, since its announcement may be old.
 state_reply make_state_reply(const entry_instance& self, const state_request& request,
                              time_point now);
 
--- a/include/kumquatpath/decision/warm_up_allowance.hpp
+++ b/include/kumquatpath/decision/warm_up_allowance.hpp
@@ -69,6 +69,14 @@
     double cost = 0;
 };
 
+/// The targets that warm up at one moment.
+struct warm_up_summary
+{
+    std::size_t targets = 0;
+    /// The time until the last of their warm-ups ends.
+    duration longest_left{0};
+};
+
 // Queries.
 
 /// Returns the end of the warm-up of \p target. It is at most the policy's duration after
@@ -97,6 +105,11 @@
 /// Returns the policy of \p service in \p table, or null if it has none.
 const warm_up_policy* find_warm_up_policy(const routing_table& table, service_id service);
 
+/// Returns which announced targets of \p directory warm up at \p now by the policies in
+/// \p table, which may be null.
+warm_up_summary summarize_warm_ups(const target_directory& directory,
+                                   const routing_table* table, time_point now);
+
 // Commands.
 
 /// Returns how the target at \p index may be used at \p now for a flow with the random
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -59,16 +59,6 @@
     }
 }
 
-std::uint64_t count_warm_ups(const entry_instance& self, time_point now)
-{
-    std::uint64_t count = 0;
-    for (const known_target& each : self.directory.targets)
-    {
-        count += each.is_used && each.is_announced && is_warming_up(each, nullptr, now);
-    }
-    return count;
-}
-
 void write_targets(std::ostream& out, const entry_instance& self, time_point now)
 {
     const auto& stats = self.steering.selector.stats;
@@ -129,7 +119,9 @@
 void write_warm_ups(std::ostream& out, const entry_instance& self, time_point now)
 {
     const warm_up_allowance& warm_up = self.steering.selector.warm_up;
-    write_metric(out, "targets_in_warm_up", count_warm_ups(self, now));
+    const warm_up_summary cold =
+        summarize_warm_ups(self.directory, self.configuration.table.get(), now);
+    write_metric(out, "targets_in_warm_up", cold.targets);
     write_metric(out, "warm_up_flows", warm_up.flows_used);
     write_metric(out, "warm_up_flows_refused", warm_up.flows_refused);
     write_metric(out, "warm_up_instances", warm_up.instances);
--- a/src/daemon/packet_worker_targets.cpp
+++ b/src/daemon/packet_worker_targets.cpp
@@ -2,8 +2,6 @@
 
 #include <kumquatpath/edge/log.hpp>
 
-#include <algorithm>
-
 namespace kumquatpath
 {
 namespace
@@ -91,22 +89,14 @@
         return;
     }
     next_warm_up_log_at_ = now + warm_up_log_interval;
-    std::size_t cold_targets = 0;
-    duration longest_left{0};
-    for (const known_target& each : self_.directory.targets)
-    {
-        if (each.is_used && each.is_announced && is_warming_up(each, nullptr, now))
-        {
-            ++cold_targets;
-            longest_left = std::max(longest_left, duration(each.warm_up_until - now));
-        }
-    }
-    if (cold_targets != logged_cold_targets_)
+    const warm_up_summary cold =
+        summarize_warm_ups(self_.directory, self_.configuration.table.get(), now);
+    if (cold.targets != logged_cold_targets_)
     {
-        logged_cold_targets_ = cold_targets;
+        logged_cold_targets_ = cold.targets;
         log(log_level::info, "targets_cold",
-            {{"targets", cold_targets},
-             {"longest_left_ms", milliseconds_of(longest_left)}});
+            {{"targets", cold.targets},
+             {"longest_left_ms", milliseconds_of(cold.longest_left)}});
     }
     if (self_.directory.warm_ups_shortened > 0 && !is_shortened_warm_up_logged_)
     {
--- a/src/decision/warm_up_allowance.cpp
+++ b/src/decision/warm_up_allowance.cpp
@@ -193,6 +193,24 @@
     return found == table.warm_ups.end() ? nullptr : &found->second;
 }
 
+warm_up_summary summarize_warm_ups(const target_directory& directory,
+                                   const routing_table* table, time_point now)
+{
+    warm_up_summary summary;
+    for (const known_target& each : directory.targets)
+    {
+        const warm_up_policy* const policy =
+            table == nullptr ? nullptr : find_warm_up_policy(*table, each.record.service);
+        if (each.is_used && each.is_announced && is_warming_up(each, policy, now))
+        {
+            ++summary.targets;
+            summary.longest_left =
+                std::max(summary.longest_left, duration(warm_up_end(each, policy) - now));
+        }
+    }
+    return summary;
+}
+
 warm_up_use warm_up_use_of(warm_up_allowance& allowance, const warm_up_policy* policy,
                            const target_directory& directory, target_index index,
                            std::uint64_t random, time_point now)
--- a/test/decision/warm_up_allowance_test.cpp
+++ b/test/decision/warm_up_allowance_test.cpp
@@ -460,6 +460,23 @@
     CHECK_FALSE(is_cold());
 }
 
+TEST(warm_up_allowance, a_summary_counts_warm_ups_until_the_policys_duration)
+{
+    routing_table table = web_table();
+    table.warm_ups[web] = {.duration = 5s};
+    announce(1, 60s);
+    apply_change(directory, announcement(2, 2), now);
+    now += 4s;
+    const warm_up_summary cold = summarize_warm_ups(directory, &table, now);
+    UNSIGNED_LONGS_EQUAL(1, cold.targets);
+    CHECK_TRUE(cold.longest_left == duration(1s));
+    now += 1s;
+    UNSIGNED_LONGS_EQUAL(0, summarize_warm_ups(directory, &table, now).targets);
+    CHECK_TRUE(summarize_warm_ups(directory, nullptr, now).longest_left == duration(55s));
+    apply_change(directory, departure(1, 3), now);
+    UNSIGNED_LONGS_EQUAL(0, summarize_warm_ups(directory, nullptr, now).targets);
+}
+
 // An instance that starts late gets the announcement from a peer, long after its write.
 TEST(warm_up_allowance, a_peer_passes_on_what_is_left_of_a_warm_up)
 {
