Target cost: follow a policy's shorter warm-up

Cause: cost_of() and weight_of() passed no policy, so a target kept its warm-up factor until its announced end although the policy's duration had passed. Change: both take the policy of the request's service. Ruled out: a shorter end in the directory, which doesn't know the configuration. Before: both new tests fail, one for the cost and one for the weight. A first form of the test, both cases on one directory, failed as the second case met a restarted target beside one with a history; each case has its own now. Conclusion: the factor ends with the policy. second_tries and record_request_answered() still pass no policy: until the announced end they send no second try and learn no speed, which is cautious, not wrong.

--- a/src/decision/target_cost.cpp
+++ b/src/decision/target_cost.cpp
@@ -38,18 +38,19 @@
 } // namespace
 
 double cost_of(const target_selector& selector, const known_target& target,
-               const target_stats& stats, double mean_response_time_ms, time_point now)
+               const target_stats& stats, double mean_response_time_ms,
+               const warm_up_policy* warm_up, time_point now)
 {
     const double slots = std::max(1U, target.record.slots);
     const double load = stats.in_flight / slots;
     double cost = (1 + load) * slowness_of(stats, mean_response_time_ms);
-    cost *= is_warming_up(target, nullptr, now) ? warm_up_cost_factor : 1;
+    cost *= is_warming_up(target, warm_up, now) ? warm_up_cost_factor : 1;
     cost += target.record.data_centre == selector.local_data_centre ? 0 : remote_cost;
     return cost;
 }
 
 double weight_of(const known_target& target, const target_stats& stats, double speed,
-                 double utilization, time_point now)
+                 double utilization, const warm_up_policy* warm_up, time_point now)
 {
     const double slots = std::max(1U, target.record.slots);
     const double emptiness = 1 / (1 + stats.in_flight / slots);
@@ -57,7 +58,7 @@
     const double exponent = 1 + idle_speed_exponent * free_share;
     const double weight = std::min(std::pow(speed, exponent), max_speed_weight) *
                           std::pow(emptiness, load_exponent);
-    return is_warming_up(target, nullptr, now) ? weight / warm_up_cost_factor : weight;
+    return is_warming_up(target, warm_up, now) ? weight / warm_up_cost_factor : weight;
 }
 
 std::uint32_t max_flows_at(const known_target& target, double speed)
--- a/src/decision/target_selector.cpp
+++ b/src/decision/target_selector.cpp
@@ -215,9 +215,9 @@
              const selection_request& request, const service_stats& service,
              const candidate& each, time_point now)
 {
-    const double cost =
-        cost_of(selector, *each.target, *each.stats, service.mean_response_time_ms, now) +
-        each.warm_up_cost;
+    const double cost = cost_of(selector, *each.target, *each.stats,
+                                service.mean_response_time_ms, request.warm_up, now) +
+                        each.warm_up_cost;
     const double uniform = jitter(request.random, *each.index);
     if (!selector.options.uses_speeds)
     {
@@ -225,8 +225,8 @@
         return;
     }
     const bool is_local = each.target->record.data_centre == selector.local_data_centre;
-    const double weight =
-        weight_of(*each.target, *each.stats, each.speed, service.utilization, now);
+    const double weight = weight_of(*each.target, *each.stats, each.speed,
+                                    service.utilization, request.warm_up, now);
     consider(is_local ? result.local : result.remote, each, cost,
              weighted_draw(weight, uniform) + each.warm_up_cost);
 }
--- a/test/decision/warm_up_steering_test.cpp
+++ b/test/decision/warm_up_steering_test.cpp
@@ -68,6 +68,22 @@
         return placed;
     }
 
+    void check_equal_shares_after_policy()
+    {
+        table.warm_ups[web] = {.duration = 5s};
+        add(1, 60s);
+        add(2, 0ms);
+        now += 5s;
+        std::map<target_index, int> flows;
+        for (int i = 0; i < 1000; ++i, now += 2ms)
+        {
+            ++flows[open_and_end_flow().target];
+        }
+        // Five standard deviations off an even share.
+        CHECK_TRUE(flows[0] >= 420);
+        CHECK_TRUE(flows[1] >= 420);
+    }
+
     /// Opens flows for \p time and returns their number by verdict.
     std::map<steering_verdict, int> serve_for(duration time)
     {
@@ -135,6 +151,18 @@
     LONGS_EQUAL(1000, counts[steering_verdict::forward]);
 }
 
+// The announced warm-up may be longer than the policy's duration, which ends it.
+TEST(warm_up_steering, after_the_policys_duration_a_target_costs_no_more_than_others)
+{
+    check_equal_shares_after_policy();
+}
+
+TEST(warm_up_steering, after_the_policys_duration_a_target_weighs_as_much_as_others)
+{
+    steering.selector.options.uses_speeds = true;
+    check_equal_shares_after_policy();
+}
+
 // A trial flow is chosen before the cheapest target is, so it needs the same permission.
 TEST(warm_up_steering, trial_flows_to_a_cold_target_keep_the_limit)
 {
