--- a/include/kumquatpath/decision/target_availability.hpp
+++ b/include/kumquatpath/decision/target_availability.hpp
@@ -5,6 +5,9 @@
 /// Whether a service has a target for new flows and, if it has none, why.
 
 #include <kumquatpath/decision/target_directory.hpp>
+#include <kumquatpath/model/routing_table.hpp>
+
+#include <set>
 
 namespace kumquatpath
 {
@@ -25,6 +28,12 @@
 target_availability availability_of(const target_directory& directory, service_id service,
                                     time_point now);
 
+/// Returns the services that the routes of \p table lead to and that have only targets of
+/// evacuated data centres.
+std::set<service_id> find_evacuated_services(const routing_table& table,
+                                             const target_directory& directory,
+                                             time_point now);
+
 } // namespace kumquatpath
 
 #endif
--- a/src/daemon/packet_worker_evacuations.cpp
+++ b/src/daemon/packet_worker_evacuations.cpp
@@ -20,27 +20,6 @@
                          });
 }
 
-/// Returns the services of \p table that have only targets of evacuated data centres.
-std::set<service_id> find_evacuated_services(const routing_table& table,
-                                             const target_directory& directory,
-                                             time_point now)
-{
-    std::set<service_id> services;
-    for (const auto& [listener, route] : table.routes)
-    {
-        for (const weighted_service& each : route.services)
-        {
-            services.insert(each.service);
-        }
-    }
-    std::erase_if(services,
-                  [&](service_id each) {
-                      return availability_of(directory, each, now) !=
-                             target_availability::evacuated;
-                  });
-    return services;
-}
-
 } // namespace
 
 void packet_worker::report_evacuations(std::string_view from,
--- a/src/decision/target_availability.cpp
+++ b/src/decision/target_availability.cpp
@@ -22,4 +22,24 @@
     return found;
 }
 
+std::set<service_id> find_evacuated_services(const routing_table& table,
+                                             const target_directory& directory,
+                                             time_point now)
+{
+    std::set<service_id> services;
+    for (const auto& [listener, route] : table.routes)
+    {
+        for (const weighted_service& each : route.services)
+        {
+            services.insert(each.service);
+        }
+    }
+    std::erase_if(services,
+                  [&](service_id each) {
+                      return availability_of(directory, each, now) !=
+                             target_availability::evacuated;
+                  });
+    return services;
+}
+
 } // namespace kumquatpath
