Waiting openings: placement decided in the decision layer, and each service of a route counts

Cause: is_behind_others() and the loop of place_by_priority() sat in the daemon without a test. An opening whose route has several services counted as waiting for the first one only, though each attempt draws one of them: so an opening for the second service overtook it, and one of such a route overtook those that wait for its second service. Ruled out: keeping the drawn service for later attempts, which would let an opening wait at a full service beside a free one. Change: both moved to decision/admission_placement (is_behind_others, take_admissible); a queued opening keeps the further services of its route and counts for each.

--- a/include/kumquatpath/decision/admission_order.hpp
+++ b/include/kumquatpath/decision/admission_order.hpp
@@ -104,8 +104,7 @@
 std::optional<double> placement_rate(const admission_order& order, service_id service,
                                      time_point now);
 
-/// Returns whether an opening waits for the targets of \p service. A new opening then has
-/// to queue, so that it does not overtake a more urgent one.
+/// Returns whether an opening waits for the targets of \p service.
 bool is_awaited(const opening_queue& queue, service_id service);
 
 /// Returns the order in which the openings of \p queue are admitted.
--- a/include/kumquatpath/decision/opening_queue.hpp
+++ b/include/kumquatpath/decision/opening_queue.hpp
@@ -53,6 +53,9 @@
     /// The service whose targets the opening waits for; if the route has several, the
     /// first.
     service_id service;
+    /// The other services of the route. Each attempt to place the opening draws one of
+    /// them all.
+    std::vector<service_id> further_services;
     /// See traffic_policy::priority.
     std::uint32_t priority = 0;
 };
@@ -75,13 +78,17 @@
     std::vector<queued_opening> openings;
     /// By the listener's packed address.
     boost::unordered_flat_map<std::uint64_t, listener_load> listeners;
-    /// Number of openings that wait for the targets of each service.
-    boost::unordered_flat_map<service_id, std::size_t, std::hash<service_id>>
+    /// Number of openings that wait for the targets of each service. An opening whose
+    /// route has several services counts for each of them.
+    boost::unordered_flat_map<service_id, std::int64_t, std::hash<service_id>>
         waiting_by_service;
     /// The flows of the openings.
     boost::unordered_flat_set<std::uint64_t> flows;
 };
 
+/// Returns the services of \p matched_route except its first one.
+std::vector<service_id> further_services_of(const route& matched_route);
+
 /// Records that a flow of \p listener was placed, whether or not its opening had to wait.
 void record_placement(opening_queue& queue, const endpoint& listener, time_point now);
 
--- a/src/daemon/packet_worker_admission.cpp
+++ b/src/daemon/packet_worker_admission.cpp
@@ -1,5 +1,7 @@
 #include "packet_worker.hpp"
 
+#include <kumquatpath/decision/admission_placement.hpp>
+
 namespace kumquatpath
 {
 namespace
@@ -27,14 +29,9 @@
 
 bool packet_worker::is_behind_others(const flow_packet& packet) const
 {
-    if (!settings_.uses_priorities || opening_queue_.openings.empty())
-    {
-        return false;
-    }
-    const route* const found = find_route(*self_.configuration.table, packet.listener);
-    return found != nullptr &&
-           is_awaited(opening_queue_, found->services.front().service) &&
-           !self_.steering.flows.contains(packet.flow.value);
+    return settings_.uses_priorities &&
+           kumquatpath::is_behind_others(opening_queue_, self_.steering,
+                                         *self_.configuration.table, packet);
 }
 
 void packet_worker::record_opening_placement(const flow_packet& packet,
@@ -73,27 +70,12 @@
 
 void packet_worker::place_by_priority(time_point now)
 {
-    if (!begin_plan_if_due(admission_order_, opening_queue_.openings.size(), now))
+    for (const steered_opening& each :
+         take_admissible(admission_order_, opening_queue_, self_.steering,
+                         *self_.configuration.table, self_.directory, now))
     {
-        return;
-    }
-    std::vector<std::size_t> placed;
-    admission_plan plan = plan_admissions(admission_order_, opening_queue_, now);
-    while (const auto index = next_admission(plan))
-    {
-        const queued_opening& opening = opening_queue_.openings[*index];
-        const steering_decision decision =
-            steer(self_.steering, *self_.configuration.table, self_.directory,
-                  opening.packet, now);
-        if (decision.verdict == steering_verdict::wait)
-        {
-            remove_listener(plan, opening.packet.listener);
-            continue;
-        }
-        finish_placement(opening, decision, now);
-        placed.push_back(*index);
+        finish_placement(each.opening, each.decision, now);
     }
-    take_openings(opening_queue_, placed);
     data_socket_.flush();
 }
 
--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -172,6 +172,7 @@
          .placement_deadline = sent_at + found->latency_goal - flow_time_reserve,
          .caller_timeout = found->timeout,
          .service = found->services.front().service,
+         .further_services = further_services_of(*found),
          .priority = policy_of(*self_.configuration.table, *found, packet.traffic_class)
                          .priority});
     if (evicted)
--- a/src/decision/opening_queue.cpp
+++ b/src/decision/opening_queue.cpp
@@ -72,11 +72,21 @@
     return std::min(given_up_at, opening.queued_at + max_wait_in_standing_queue);
 }
 
+/// Adds \p change to the number of openings that wait for each service of \p opening.
+void count_waiting(opening_queue& queue, const queued_opening& opening, int change)
+{
+    queue.waiting_by_service[opening.service] += change;
+    for (const service_id each : opening.further_services)
+    {
+        queue.waiting_by_service[each] += change;
+    }
+}
+
 /// Records that \p opening has left \p queue.
 void record_removal(opening_queue& queue, const queued_opening& opening)
 {
     --queue.listeners[pack(opening.packet.listener)].waiting;
-    --queue.waiting_by_service[opening.service];
+    count_waiting(queue, opening, -1);
     queue.flows.erase(opening.packet.flow.value);
 }
 
@@ -93,6 +103,16 @@
 
 } // namespace
 
+std::vector<service_id> further_services_of(const route& matched_route)
+{
+    std::vector<service_id> services;
+    for (const weighted_service& each : std::span(matched_route.services).subspan(1))
+    {
+        services.push_back(each.service);
+    }
+    return services;
+}
+
 std::optional<queued_opening> add_opening(opening_queue& queue, queued_opening opening)
 {
     const bool is_retransmission = !queue.flows.insert(opening.packet.flow.value).second;
@@ -103,6 +123,7 @@
                          [&](const queued_opening& each)
                          { return each.packet.flow == opening.packet.flow; });
         opening.service = duplicate->service;
+        opening.further_services = std::move(duplicate->further_services);
         opening.priority = duplicate->priority;
         opening.first_sent_at = duplicate->first_sent_at;
         opening.queued_at = duplicate->queued_at;
@@ -124,7 +145,7 @@
     listener_load& load = queue.listeners[pack(opening.packet.listener)];
     load.waiting_since = load.waiting == 0 ? opening.queued_at : load.waiting_since;
     ++load.waiting;
-    ++queue.waiting_by_service[opening.service];
+    count_waiting(queue, opening, 1);
     queue.openings.push_back(std::move(opening));
     return evicted;
 }
