--- a/test/decision/state_convergence_test.cpp
+++ b/test/decision/state_convergence_test.cpp
@@ -6,11 +6,10 @@
 /// KUMQUATPATH_CONVERGENCE_SEEDS sets the number of seeds, and
 /// KUMQUATPATH_CONVERGENCE_FIRST_SEED the first one, to run a failing seed again.
 
-#include "entry_fixture.hpp"
+#include "plain_store.hpp"
 
 #include <algorithm>
 #include <cstdlib>
-#include <map>
 #include <random>
 #include <string>
 
@@ -24,7 +23,6 @@
 {
 
 constexpr std::size_t instance_count = 6;
-constexpr std::uint64_t key_count = 7;
 constexpr int steps = 1500;
 constexpr std::uint64_t default_seeds = 50;
 
@@ -34,82 +32,6 @@
     return text == nullptr ? otherwise : std::stoull(text);
 }
 
-/// The store's changes, by key and revision. Each revision changes one key.
-struct plain_store
-{
-    std::uint64_t revision = 1;
-    std::map<std::uint64_t, std::map<std::uint64_t, target_change>> changes;
-    /// The changes up to this one can't be watched any more.
-    std::uint64_t compacted = 0;
-
-    void change(std::uint64_t key, bool is_departure)
-    {
-        ++revision;
-        changes[key][revision] =
-            is_departure ? departure(key, revision) : announcement(key, revision);
-    }
-
-    /// Returns the last change of \p key at \p position, or null if there was none.
-    const target_change* last_change(std::uint64_t key, std::uint64_t position) const
-    {
-        const auto found = changes.find(key);
-        if (found == changes.end())
-        {
-            return nullptr;
-        }
-        const auto next = found->second.upper_bound(position);
-        return next == found->second.begin() ? nullptr : &std::prev(next)->second;
-    }
-
-    bool is_announced(std::uint64_t key, std::uint64_t position) const
-    {
-        const target_change* const last = last_change(key, position);
-        return last != nullptr && !last->is_gone;
-    }
-
-    bool departed_after(std::uint64_t key, std::uint64_t position) const
-    {
-        const auto found = changes.find(key);
-        return found != changes.end() &&
-               std::any_of(found->second.upper_bound(position), found->second.end(),
-                           [](const auto& each) { return each.second.is_gone; });
-    }
-
-    std::vector<target_change> changes_after(std::uint64_t position) const
-    {
-        std::vector<target_change> result;
-        for (std::uint64_t at = position + 1; at <= revision; ++at)
-        {
-            for (const auto& [key, of_key] : changes)
-            {
-                const auto found = of_key.find(at);
-                if (found != of_key.end())
-                {
-                    result.push_back(found->second);
-                }
-            }
-        }
-        return result;
-    }
-
-    /// Returns a listing at \p position, of which the keys from \p split on were read
-    /// only now, on a later page.
-    state_update listing(std::uint64_t position, std::uint64_t split) const
-    {
-        state_update update{
-            .position = {position}, .complete_from = {position}, .is_whole = true};
-        for (std::uint64_t key = 1; key <= key_count; ++key)
-        {
-            const std::uint64_t read_at = key < split ? position : revision;
-            if (is_announced(key, read_at))
-            {
-                update.targets.push_back(*last_change(key, read_at));
-            }
-        }
-        return update;
-    }
-};
-
 struct message
 {
     std::size_t receiver = 0;
