--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -39,16 +39,18 @@
 daemon::daemon(const daemon_settings& settings, std::string settings_file,
                const daemon_adapters& adapters)
     : settings_file_(std::move(settings_file)),
-      packet_worker_(settings, adapters.packets, random_incarnation(),
-                     {.request_reading = [this](const read_request& request)
-                      { state_reader_.update_request(request); },
-                      .query_peer = [this](const peer_query& request)
-                      { return peer_query_queue_.send(request); },
-                      .set_ready =
-                          [this](bool is_ready)
-                      {
-                          status_server_.set_ready(is_ready);
-                      }}),
+      packet_worker_(
+          settings, adapters.packets, random_incarnation(),
+          {.request_reading = [this](const read_request& request)
+           { state_reader_.update_request(request); },
+           .query_peer = [this](const peer_query& request)
+           { return peer_query_queue_.send(request); },
+           .set_ready = [this](bool is_ready) { status_server_.set_ready(is_ready); },
+           .messages_dropped =
+               [this]
+           {
+               return messages_dropped();
+           }}),
       state_reader_queue_(packet_worker_.context(), queue_capacity,
                           [this](packet_worker_message message)
                           { packet_worker_.handle(std::move(message)); }),
@@ -83,6 +85,14 @@
     watch_settings();
 }
 
+dropped_message_counts daemon::messages_dropped() const
+{
+    return {.state_reader = state_reader_queue_.dropped(),
+            .state_transfer = state_transfer_queue_.dropped(),
+            .status_server = status_server_queue_.dropped(),
+            .packet_worker = peer_query_queue_.dropped()};
+}
+
 void daemon::watch_settings()
 {
     settings_timer_.expires_after(settings_check_interval);
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -56,6 +56,7 @@
     void wait_for_signal();
     void watch_settings();
     void reload();
+    dropped_message_counts messages_dropped() const;
 
     std::string settings_file_;
     packet_worker packet_worker_;
--- a/src/daemon/messages.hpp
+++ b/src/daemon/messages.hpp
@@ -82,6 +82,16 @@
     std::variant<source_update, source_read_failure, peer_reply, peer_query_completion,
                  peer_state_request, page_request, stop_request, settings_update>;
 
+/// How many messages were dropped because the queue of their sender was full.
+struct dropped_message_counts
+{
+    std::uint64_t state_reader = 0;
+    std::uint64_t state_transfer = 0;
+    std::uint64_t status_server = 0;
+    /// Queries of the packet_worker to the state_transfer.
+    std::uint64_t packet_worker = 0;
+};
+
 /// Tells the state_transfer to send \c request to a peer.
 struct peer_query
 {
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -93,6 +93,19 @@
     }
 }
 
+void write_dropped_messages(std::ostream& out, const dropped_message_counts& dropped)
+{
+    const std::pair<std::string_view, std::uint64_t> counts[] = {
+        {"state_reader", dropped.state_reader},
+        {"state_transfer", dropped.state_transfer},
+        {"status_server", dropped.status_server},
+        {"packet_worker", dropped.packet_worker}};
+    for (const auto& [from, count] : counts)
+    {
+        out << "kumquatpath_messages_dropped{from=\"" << from << "\"} " << count << "\n";
+    }
+}
+
 void write_evidence(std::ostream& out, const entry_instance& self)
 {
     const target_selector& selector = self.steering.selector;
@@ -292,6 +305,7 @@
     write_metric(out, "updates_incomplete", metrics.updates_incomplete);
     write_metric(out, "targets_refused", self.directory.refused_targets);
     write_metric(out, "log_lines_held_back", metrics.log_lines_held_back);
+    write_dropped_messages(out, metrics.messages_dropped);
     write_metric(out, "flows_remembered", self.steering.flows.size());
     write_metric(out, "peers", self.fleet.peers.size());
     write_metric(out, "state_position", self.directory.position.value);
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -4,6 +4,8 @@
 /// \file
 /// The counters and histograms of an entry instance, and the /metrics page.
 
+#include "messages.hpp"
+
 #include <kumquatpath/decision/entry_instance.hpp>
 
 #include <boost/histogram.hpp>
@@ -57,6 +59,8 @@
     /// Updates that may lack changes and so did not move the position.
     std::uint64_t updates_incomplete = 0;
     std::uint64_t log_lines_held_back = 0;
+    /// As of the last page.
+    dropped_message_counts messages_dropped;
     /// By route name, with at most max_timed_routes entries.
     std::map<std::string, route_times, std::less<>> times;
     /// By route name, with at most max_timed_routes entries.
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -164,6 +164,7 @@
 {
     const time_point now = monotonic_now();
     count_waiting_openings();
+    metrics_.messages_dropped = outputs_.messages_dropped();
     message.respond(message.page == page_kind::status
                         ? status_page(settings_, self_, now)
                         : metrics_page(metrics_, self_, now));
--- a/src/daemon/packet_worker.hpp
+++ b/src/daemon/packet_worker.hpp
@@ -33,6 +33,8 @@
     /// Returns whether the query was queued.
     std::function<bool(const peer_query&)> query_peer;
     std::function<void(bool)> set_ready;
+    /// Returns the messages dropped so far between all workers.
+    std::function<dropped_message_counts()> messages_dropped;
 };
 
 /// The state of a target as it was last logged.
