Status page: sent as application/json

Cause: /v1/status was sent as text/plain; version=0.0.4, the type of /metrics. Change: each page has its own type; plain answers have text/plain. Before: the new test failed on the type. After: 26 daemon tests pass. Conclusion: newcomers' tools show the page as JSON.

--- a/src/daemon/status_server.cpp
+++ b/src/daemon/status_server.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t max_header_bytes = 8192;
 constexpr std::string_view metrics_path = "/metrics";
 constexpr std::string_view status_path = "/v1/status";
+constexpr beast::string_view text_type = "text/plain";
+constexpr beast::string_view metrics_type = "text/plain; version=0.0.4";
+constexpr beast::string_view json_type = "application/json";
 
 } // namespace
 
@@ -90,20 +93,22 @@
 
     void request_page(page_kind page)
     {
-        const auto send = [self = shared_from_this()](const std::string& text)
+        const auto type = page == page_kind::status ? json_type : metrics_type;
+        const auto send = [self = shared_from_this(), type](const std::string& text)
         {
-            asio::post(self->owner.context_,
-                       [self, text] { self->write_response(http::status::ok, text); });
+            asio::post(self->owner.context_, [self, text, type]
+                       { self->write_response(http::status::ok, text, type); });
         };
         owner.send_message_(page_request{.page = page, .respond = send});
     }
 
-    void write_response(http::status status, const std::string& body)
+    void write_response(http::status status, const std::string& body,
+                        beast::string_view type = text_type)
     {
         response = {};
         response.version(parser->get().version());
         response.result(status);
-        response.set(http::field::content_type, "text/plain; version=0.0.4");
+        response.set(http::field::content_type, type);
         response.keep_alive(parser->get().keep_alive());
         response.body() = body;
         response.prepare_payload();
--- a/test/daemon/status_server_test.cpp
+++ b/test/daemon/status_server_test.cpp
@@ -72,6 +72,13 @@
     std::uint64_t pages = 0;
 };
 
+TEST(status_server, each_page_states_its_type)
+{
+    STRCMP_CONTAINS("Content-Type: application/json\r\n", page("/v1/status").c_str());
+    STRCMP_CONTAINS("Content-Type: text/plain; version=0.0.4\r\n",
+                    page("/metrics").c_str());
+}
+
 TEST(status_server, a_page_that_the_full_queue_drops_ends_the_connection_at_once)
 {
     tcp::socket first = send_request("/metrics");
