Refused configuration: one line in the log, with revision and field

Cause: a reader logged an unusable configuration twice, with the field and with the revision; one from a peer had no revision. Ruled out: dropping the second line, since the revision is what operators look up. Conclusion: one line for each configuration and reader.

--- a/include/kumquatpath/edge/state_source.hpp
+++ b/include/kumquatpath/edge/state_source.hpp
@@ -66,10 +66,10 @@
     virtual void cancel() = 0;
 };
 
-/// A function that parses the text of a configuration. It returns null and logs the
-/// reason if the text is not valid.
-using configuration_parser =
-    std::shared_ptr<const routing_table> (*)(const std::string& text);
+/// A function that parses the text of the configuration of \c revision. It returns null
+/// and logs the reason, in one line, if the text is not valid.
+using configuration_parser = std::shared_ptr<const routing_table> (*)(
+    const std::string& text, state_revision revision);
 
 } // namespace kumquatpath
 
--- a/src/daemon/state_transfer.cpp
+++ b/src/daemon/state_transfer.cpp
@@ -249,7 +249,8 @@
     peer_reply received{.sender = sender, .reply = *reply};
     if (!received.reply.configuration_text.empty())
     {
-        received.table = options_.parse_configuration(received.reply.configuration_text);
+        received.table = options_.parse_configuration(received.reply.configuration_text,
+                                                      received.reply.configuration);
     }
     send_message_(std::move(received));
 }
--- a/test/platform/state_records_test.cpp
+++ b/test/platform/state_records_test.cpp
@@ -125,6 +125,6 @@
          R"({"version":1,"routes":[{"name":"a","host":"1.2.3.4","prefix":"80","kind":"k","service":"x"}]})"})
     {
         CHECK_FALSE(static_cast<bool>(parse_platform_configuration(text)));
-        POINTERS_EQUAL(nullptr, read_platform_configuration(text).get());
+        POINTERS_EQUAL(nullptr, read_platform_configuration(text, {1}).get());
     }
 }
--- a/test/smoke/platform_path_test.py
+++ b/test/smoke/platform_path_test.py
@@ -210,6 +210,20 @@
     time.sleep(1.5)
 
 
+def check_refused_configuration(test_bed):
+    """An unusable configuration is reported once by each instance that reads it."""
+    write_store({"op/config": json.dumps({"version": 3, "routes": [5]})})
+
+    def refusals(name):
+        with open(os.path.join(test_bed.folder, f"{name}.log")) as log:
+            return [json.loads(line) for line in log if '"configuration_refused"' in line]
+    wait_until("an unusable configuration is reported", lambda: refusals("entry-1"))
+    time.sleep(0.5)
+    lines = refusals("entry-1")
+    assert len(lines) == 1, lines
+    assert lines[0]["revision"] > 0 and lines[0]["field"] == "routes", lines
+
+
 def check_store_changes(test_bed, name, token):
     write_store({f"servers/{name}": host_entry(name, "draining"), "servers/i-zz": "x",
                  "servers/i-00ef": "not an entry"})
@@ -311,6 +325,7 @@
             del INSTANCES["entry-3"]
             name, token = check_forwarding(test_bed)
             check_warm_up(test_bed)
+            check_refused_configuration(test_bed)
             check_store_changes(test_bed, name, token)
             check_evacuation(test_bed)
             INSTANCES["entry-3"] = "127.82.1.6"
