Full flow table: own flows are no longer taken for a rehash

Cause: with a full table, a flow opened here is not tracked, so each of its packets counted as one of a flow opened elsewhere. After four within half a second the instance took the fabric for rehashing, and no silent target could become suspect as long as the table was full. Ruled out: not counting while the table is full, since the flows left untracked go on after it has room again. Change: for 20 s, the lifetime of an idle flow, after the last placement that was not tracked, unknown flows don't count. Conclusion: a real rehash in these 20 s is not seen; overdue openings of tracked flows may then count against a sound target until it answers one.

--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -151,6 +151,9 @@
     /// that is not tracked is counted again with each packet.
     time_point rehash_window_start;
     std::uint32_t flows_opened_elsewhere = 0;
+    /// When a flow was last placed here without being tracked, because the table was
+    /// full; unset: never. Its packets look like those of a flow opened elsewhere.
+    std::optional<time_point> last_untracked_at;
     /// When a packet of a flow opened through another instance last started or continued
     /// such a window; unset: never.
     std::optional<time_point> last_opened_elsewhere_at;
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -125,7 +125,11 @@
         steering.selector.warm_up.flows_refused += is_refused ? 1U : 0U;
         return {.verdict = verdict};
     }
-    if (steering.flows.size() < max_tracked_flows)
+    if (steering.flows.size() >= max_tracked_flows)
+    {
+        steering.last_untracked_at = now;
+    }
+    else
     {
         tracked_flow& flow = steering.flows[flow_key];
         set_in_flight(steering, directory, flow, false);
@@ -266,13 +270,23 @@
     }
 }
 
+/// Returns whether a flow that is not tracked may have been opened here.
+bool may_be_own(const flow_steering& steering, time_point now)
+{
+    return steering.last_untracked_at &&
+           now < *steering.last_untracked_at + idle_flow_timeout;
+}
+
 /// Tracks a flow that was opened through another instance and whose packets arrive here.
 void track_flow_opened_elsewhere(flow_steering& steering, const routing_table& table,
                                  const target_directory& directory,
                                  const flow_packet& packet, target_index target,
                                  time_point now)
 {
-    record_flow_opened_elsewhere(steering, now);
+    if (!may_be_own(steering, now))
+    {
+        record_flow_opened_elsewhere(steering, now);
+    }
     if (packet.is_end || steering.flows.size() >= max_tracked_flows)
     {
         return;
