--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -51,6 +51,11 @@
            {
                return worker_traffic{.state_transfers = state_transfer_.total_traffic(),
                                      .store = source.total_traffic()};
+           },
+           .messages_dropped =
+               [this]
+           {
+               return messages_dropped();
            }}),
       state_reader_queue_(packet_worker_.context(), queue_capacity,
                           [this](packet_worker_message message)
@@ -86,6 +91,14 @@
     watch_settings();
 }
 
+dropped_message_counts daemon::messages_dropped() const
+{
+    return {.state_reader = state_reader_queue_.dropped(),
+            .state_transfer = state_transfer_queue_.dropped(),
+            .status_server = status_server_queue_.dropped(),
+            .packet_worker = peer_query_queue_.dropped()};
+}
+
 void daemon::watch_settings()
 {
     settings_timer_.expires_after(settings_check_interval);
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -77,16 +77,6 @@
     }
 }
 
-std::uint64_t count_warm_ups(const entry_instance& self, time_point now)
-{
-    std::uint64_t count = 0;
-    for (const known_target& each : self.directory.targets)
-    {
-        count += each.is_used && each.is_announced && is_warming_up(each, nullptr, now);
-    }
-    return count;
-}
-
 void write_targets(std::ostream& out, const entry_instance& self, time_point now)
 {
     const auto& stats = self.steering.selector.stats;
@@ -121,6 +111,19 @@
     }
 }
 
+void write_dropped_messages(std::ostream& out, const dropped_message_counts& dropped)
+{
+    const std::pair<std::string_view, std::uint64_t> counts[] = {
+        {"state_reader", dropped.state_reader},
+        {"state_transfer", dropped.state_transfer},
+        {"status_server", dropped.status_server},
+        {"packet_worker", dropped.packet_worker}};
+    for (const auto& [from, count] : counts)
+    {
+        out << "kumquatpath_messages_dropped{from=\"" << from << "\"} " << count << "\n";
+    }
+}
+
 void write_evidence(std::ostream& out, const entry_instance& self)
 {
     const target_selector& selector = self.steering.selector;
@@ -147,7 +150,9 @@
 void write_warm_ups(std::ostream& out, const entry_instance& self, time_point now)
 {
     const warm_up_allowance& warm_up = self.steering.selector.warm_up;
-    write_metric(out, "targets_in_warm_up", count_warm_ups(self, now));
+    const warm_up_summary cold =
+        summarize_warm_ups(self.directory, self.configuration.table.get(), now);
+    write_metric(out, "targets_in_warm_up", cold.targets);
     write_metric(out, "warm_up_flows", warm_up.flows_used);
     write_metric(out, "warm_up_flows_refused", warm_up.flows_refused);
     write_metric(out, "warm_up_instances", warm_up.instances);
@@ -320,6 +325,7 @@
     write_metric(out, "updates_incomplete", metrics.updates_incomplete);
     write_metric(out, "targets_refused", self.directory.refused_targets);
     write_metric(out, "log_lines_held_back", metrics.log_lines_held_back);
+    write_dropped_messages(out, metrics.messages_dropped);
     write_metric(out, "flows_remembered", self.steering.flows.size());
     write_metric(out, "peers", self.fleet.peers.size());
     write_metric(out, "state_position", self.directory.position.value);
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -156,8 +156,7 @@
 
 void packet_worker::process(peer_state_request&& message)
 {
-    state_reply reply = make_state_reply(self_, message.request);
-    restate_warm_ups(self_.directory, reply.update.targets, monotonic_now());
+    state_reply reply = make_state_reply(self_, message.request, monotonic_now());
     metrics_.whole_replies_sent += reply.update.is_whole ? 1U : 0U;
     message.respond(std::move(reply));
 }
@@ -167,6 +166,7 @@
     const time_point now = monotonic_now();
     count_waiting_openings();
     count_control_traffic();
+    metrics_.messages_dropped = outputs_.messages_dropped();
     message.respond(message.page == page_kind::status
                         ? status_page(settings_, self_, now)
                         : metrics_page(metrics_, self_, now));
--- a/src/daemon/packet_worker.hpp
+++ b/src/daemon/packet_worker.hpp
@@ -41,6 +41,8 @@
     std::function<bool(const peer_query&)> query_peer;
     std::function<void(bool)> set_ready;
     std::function<worker_traffic()> total_traffic;
+    /// Returns the messages dropped so far between all workers.
+    std::function<dropped_message_counts()> messages_dropped;
 };
 
 /// The state of a target as it was last logged.
--- a/test/decision/evacuations_test.cpp
+++ b/test/decision/evacuations_test.cpp
@@ -29,6 +29,11 @@
     return change;
 }
 
+std::string numbered_name(std::uint64_t number)
+{
+    return std::string("d").append(std::to_string(number));
+}
+
 state_update partial(std::vector<evacuation_change> changes, std::uint64_t position)
 {
     return {.position = {position}, .evacuations = std::move(changes)};
@@ -166,7 +171,7 @@
     std::uint64_t revision = 1;
     while (revision <= max_known_evacuations)
     {
-        apply(partial({evacuation("d" + std::to_string(revision), revision)}, revision));
+        apply(partial({evacuation(numbered_name(revision), revision)}, revision));
         ++revision;
     }
     UNSIGNED_LONGS_EQUAL(0, apply(partial({evacuation("north", revision)}, revision)));
@@ -180,7 +185,7 @@
     std::uint64_t revision = 1;
     while (revision <= max_known_evacuations)
     {
-        apply(partial({withdrawal("d" + std::to_string(revision), revision)}, revision));
+        apply(partial({withdrawal(numbered_name(revision), revision)}, revision));
         ++revision;
     }
     apply(partial({evacuation("north", revision)}, revision), revision - 1);
@@ -287,20 +292,20 @@
 {
     apply(self, first_state());
     entry_instance newcomer = make_peer();
-    apply(newcomer, make_state_reply(self, {}).update);
+    apply(newcomer, make_state_reply(self, {}, now).update);
     CHECK_FALSE(takes_flows(newcomer, 1));
     apply(self, {.position = {12},
                  .complete_from = {10},
                  .evacuations = {withdrawal("north", 12)}});
     apply(newcomer,
-          make_state_reply(self, {.position = newcomer.directory.position}).update);
+          make_state_reply(self, {.position = newcomer.directory.position}, now).update);
     CHECK_TRUE(takes_flows(newcomer, 1));
 }
 
 TEST(evacuations_of_an_instance, do_not_return_through_a_peer_that_lags_behind)
 {
     apply(self, first_state());
-    const state_update old_reply = make_state_reply(self, {}).update;
+    const state_update old_reply = make_state_reply(self, {}, now).update;
     entry_instance restarted = make_peer();
     state_update later = first_state();
     later.position = {20};
