Bench: steering by speed, the review of a service and evidence

Cause: the benchmark of the hot path measures no learnt speeds and no evidence, though these take the processor time of large services. Change: flows by speed at 14 to 3,000 targets, an opening after a pause (with the review of the service), the choice and the receipt of evidence.

--- a/bench/hot_path_benchmark.cpp
+++ b/bench/hot_path_benchmark.cpp
@@ -20,9 +20,11 @@
 
 /// Returns an instance that knows \p targets targets of one service in three data centres
 /// and has a configuration with one route to the service.
-entry_instance instance_with_targets(std::size_t targets)
+entry_instance instance_with_targets(std::size_t targets,
+                                     const selection_options& selection = {})
 {
-    entry_instance self = make_entry_instance({.self = {1}, .local_data_centre = {1}});
+    entry_instance self = make_entry_instance(
+        {.self = {1}, .local_data_centre = {1}, .selection = selection});
     for (std::size_t i = 0; i < targets; ++i)
     {
         const target_record record{.key = {i + 1},
@@ -44,13 +46,51 @@
     return self;
 }
 
-/// Measures the steering of one flow with three packets: the opening, a packet of the
-/// open flow and the packet that ends the flow.
-void steer_flow(benchmark::State& state)
+/// Two peers report that the target at \p index is slow.
+void hear_of(entry_instance& self, target_index index, time_point now)
+{
+    const known_target& target = self.directory.targets[index];
+    const target_evidence evidence{.target = target.token,
+                                   .incarnation =
+                                       incarnation_check(target.record.incarnation),
+                                   .kind = evidence_kind::speed,
+                                   .level = 10};
+    for (const std::uint32_t peer : {2U, 3U})
+    {
+        record_evidence(self.steering.selector, self.directory,
+                        {.instance = {peer}, .data_centre = {1}}, std::span(&evidence, 1),
+                        self.evidence, now);
+    }
+}
+
+/// Returns an instance that learns speeds and uses evidence of peers. Each of its
+/// \p targets targets has given some answers, and peers have reported each third one.
+entry_instance instance_with_answers(std::size_t targets, time_point now)
+{
+    entry_instance self =
+        instance_with_targets(targets, {.uses_speeds = true, .uses_peer_evidence = true});
+    constexpr std::uint32_t answers_per_target = 4;
+    for (std::uint32_t answer = 0; answer < answers_per_target; ++answer)
+    {
+        for (target_index index = 0; index < targets; ++index)
+        {
+            const auto time = std::chrono::milliseconds(40 + 7 * ((index + answer) % 9));
+            record_request_answered(self.steering.selector, self.directory, index, time,
+                                    duration(0), now);
+        }
+    }
+    for (target_index index = 0; index < targets; index += 3)
+    {
+        hear_of(self, index, now);
+    }
+    return self;
+}
+
+/// Steers one flow with three packets at a time: the opening, a packet of the open flow
+/// and the packet that ends the flow.
+void steer_flows(benchmark::State& state, entry_instance& self, time_point now)
 {
-    entry_instance self = instance_with_targets(static_cast<std::size_t>(state.range(0)));
     std::uint64_t flow = 0;
-    time_point now;
     for (auto _ : state)
     {
         ++flow;
@@ -71,7 +111,79 @@
         }
     }
 }
-BENCHMARK(steer_flow)->Arg(14)->Arg(120)->Arg(1000);
+
+/// Measures the steering of one flow. The argument is the number of targets.
+void steer_flow(benchmark::State& state)
+{
+    entry_instance self = instance_with_targets(static_cast<std::size_t>(state.range(0)));
+    steer_flows(state, self, time_point());
+}
+BENCHMARK(steer_flow)->Arg(14)->Arg(120)->Arg(1000)->Arg(3000);
+
+/// Measures the same with learnt speeds and evidence of peers.
+void steer_flow_by_speed(benchmark::State& state)
+{
+    const time_point now(std::chrono::seconds(100));
+    entry_instance self =
+        instance_with_answers(static_cast<std::size_t>(state.range(0)), now);
+    steer_flows(state, self, now);
+}
+BENCHMARK(steer_flow_by_speed)->Arg(14)->Arg(120)->Arg(1000)->Arg(3000);
+
+/// Measures one opening of a flow that comes so late after the last one that the
+/// measurements of the service are reviewed. The argument is the number of targets.
+void select_target_after_pause(benchmark::State& state)
+{
+    time_point now(std::chrono::seconds(100));
+    entry_instance self =
+        instance_with_answers(static_cast<std::size_t>(state.range(0)), now);
+    std::uint64_t random = 0;
+    for (auto _ : state)
+    {
+        now += std::chrono::seconds(2);
+        benchmark::DoNotOptimize(
+            select_target(self.steering.selector, self.directory,
+                          {.service = benchmark_service, .random = ++random}, now));
+    }
+}
+BENCHMARK(select_target_after_pause)->Arg(120)->Arg(3000);
+
+/// Measures the choice of the evidence of a heartbeat, at 20 heartbeats a second. The
+/// argument is the number of targets.
+void report_evidence(benchmark::State& state)
+{
+    time_point now(std::chrono::seconds(100));
+    entry_instance self =
+        instance_with_answers(static_cast<std::size_t>(state.range(0)), now);
+    record_opening_overdue(self.steering.selector, self.directory, 1, now);
+    fleet_heartbeat heartbeat;
+    for (auto _ : state)
+    {
+        // Time goes on slowly, so that the evidence stays recent.
+        now += std::chrono::nanoseconds(50);
+        ++self.heartbeats_sent;
+        add_evidence(self, heartbeat, now);
+        benchmark::DoNotOptimize(heartbeat.evidence.data());
+    }
+}
+BENCHMARK(report_evidence)->Arg(120)->Arg(3000);
+
+/// Measures what a heartbeat with two reported speeds costs its receiver. The argument is
+/// the number of targets.
+void record_heartbeat_with_evidence(benchmark::State& state)
+{
+    time_point now(std::chrono::seconds(100));
+    const auto targets = static_cast<std::size_t>(state.range(0));
+    entry_instance self = instance_with_answers(targets, now);
+    target_index index = 0;
+    for (auto _ : state)
+    {
+        now += std::chrono::milliseconds(1);
+        index = (index + 1) % static_cast<target_index>(targets);
+        hear_of(self, index, now);
+    }
+}
+BENCHMARK(record_heartbeat_with_evidence)->Arg(120)->Arg(3000);
 
 /// Measures the parsing and rewriting of a data packet in the platform's format.
 void read_and_forward_packet(benchmark::State& state)
