Target choice: keep each target's speed, weight and slowness between openings

Cause: each opening computed for each target of the service, from its evidence, a speed (three exponentials), a weight (two powers), a draw (a logarithm), the decayed answers and the state of its data centre (a table look-up). Ruled out: a sampled subset of the targets, since a loaded or silent one must be avoided as before. The fourth power is two multiplications; a draw needs its logarithm only if its lower bound can win; decayed answers only of targets with quick answers; doubts only of targets with recent reports; data centres only if one is suspect.

--- a/include/kumquatpath/decision/answer_counts.hpp
+++ b/include/kumquatpath/decision/answer_counts.hpp
@@ -39,9 +39,9 @@
 /// answers of its service's targets, \p mean_share.
 bool is_failing(const answer_counts& counts, double mean_share);
 
-/// Returns whether the answers in \p counts are a reason to doubt that the target
-/// processes its requests, though they are too few to call it failing.
-bool is_doubtful(const answer_counts& counts, double mean_share);
+/// Returns whether the answers in \p counts are at \p now a reason to doubt that the
+/// target processes its requests, though they are too few to call it failing.
+bool is_doubtful(const answer_counts& counts, double mean_share, time_point now);
 
 // Commands.
 
--- a/include/kumquatpath/decision/peer_reports.hpp
+++ b/include/kumquatpath/decision/peer_reports.hpp
@@ -47,6 +47,8 @@
     /// Reports of unanswered openings and of quick answers.
     reports doubts;
     reports speeds;
+    /// No doubt counts from then on.
+    time_point doubts_until;
 };
 
 /// Own evidence that a target works.
--- a/include/kumquatpath/decision/target_cost.hpp
+++ b/include/kumquatpath/decision/target_cost.hpp
@@ -10,16 +10,19 @@
 namespace kumquatpath
 {
 
-/// Returns the expected wait of a flow at \p target, in multiples of a response time, for
-/// a service whose targets take \p mean_response_time_ms; 0: unknown.
+/// Returns the estimate of a target of \p service with \p stats. Its idle weight is in
+/// proportion to its speed if all slots of the service are in use, and prefers fast
+/// targets the more slots are free.
+target_estimate estimate_of(const target_stats& stats, const service_stats& service,
+                            const selection_options& options, time_point now);
+
+/// Returns the expected wait of a flow at \p target, in multiples of a response time.
 double cost_of(const target_selector& selector, const known_target& target,
-               const target_stats& stats, double mean_response_time_ms, time_point now);
+               const target_stats& stats, time_point now);
 
-/// Returns the weight of \p target in a random choice by speed. It is in proportion to
-/// \p speed if all slots of the service are in use (\p utilization is 1), and prefers
-/// fast targets the more slots are free. It falls with the flows of this instance there.
-double weight_of(const known_target& target, const target_stats& stats, double speed,
-                 double utilization, time_point now);
+/// Returns the weight of \p target in a random choice by speed. It falls with the flows
+/// of this instance there.
+double weight_of(const known_target& target, const target_stats& stats, time_point now);
 
 /// Returns the number of flows that this instance may have in flight at \p target with
 /// \p speed; at least 1.
--- a/include/kumquatpath/decision/target_stats.hpp
+++ b/include/kumquatpath/decision/target_stats.hpp
@@ -25,7 +25,22 @@
 /// No opening may stay unanswered for longer before it is overdue.
 inline constexpr duration max_opening_timeout = std::chrono::milliseconds(180);
 
-/// Measurements of one target.
+/// What follows from the measurements of one target and is kept until they change or are
+/// reviewed.
+struct target_estimate
+{
+    /// As by speed_of(); 1 unless speeds are used.
+    double speed = 1;
+    /// The weight of the target in a random choice while no flow of this instance is
+    /// there.
+    double idle_weight = 1;
+    /// The factor by which answers take longer than usual.
+    double slowness = 1;
+    bool is_outdated = true;
+};
+
+/// Measurements of one target. The members that each selection reads come first, so that
+/// they share cache lines.
 struct target_stats
 {
     target_key key;
@@ -34,10 +49,15 @@
     std::optional<time_point> known_since;
     /// Flows that this instance placed on the target and that await an answer.
     std::uint32_t in_flight = 0;
-    /// When the newest answered opening was sent.
-    time_point answered_opening_sent_at;
     /// Overdue openings that were sent after the newest answered one.
     std::uint32_t overdue_openings = 0;
+    /// Too many of the target's answers came too quickly to be real, so it is avoided.
+    bool is_failing = false;
+    /// As many peers doubt the target as all new flows heed.
+    bool is_avoided_by_peer_reports = false;
+    target_estimate estimate;
+    /// When the newest answered opening was sent.
+    time_point answered_opening_sent_at;
     /// When the target last got a trial flow: a new flow that tests a suspect target.
     time_point last_trial;
     /// Smoothed time from a request to its answer; 0: no answer seen.
@@ -46,8 +66,6 @@
     answer_counts answers;
     /// Measured only with selection_options::uses_speeds.
     target_speed speed;
-    /// Too many of the target's answers came too quickly to be real, so it is avoided.
-    bool is_failing = false;
     /// When the newest overdue opening was sent.
     time_point overdue_opening_sent_at;
     /// When the newest quick answer, and the newest answer that was not quick, came.
@@ -55,8 +73,6 @@
     time_point real_answer_at;
     /// What peers have reported.
     target_peer_reports peer_reports;
-    /// As many peers doubt the target as all new flows heed.
-    bool is_avoided_by_peer_reports = false;
 };
 
 /// Measurements of all targets of one service.
--- a/src/decision/answer_counts.cpp
+++ b/src/decision/answer_counts.cpp
@@ -54,9 +54,11 @@
     return counts.quick >= min_quick_answers && has_high_share(counts, mean_share);
 }
 
-bool is_doubtful(const answer_counts& counts, double mean_share)
+bool is_doubtful(const answer_counts& counts, double mean_share, time_point now)
 {
-    return counts.quick >= min_doubtful_answers && has_high_share(counts, mean_share);
+    // Counts only decay, and most targets have no quick answers.
+    return counts.quick >= min_doubtful_answers && has_high_share(counts, mean_share) &&
+           decayed(counts, now).quick >= min_doubtful_answers;
 }
 
 void count_answer(answer_counts& counts, bool is_quick, time_point now)
--- a/src/decision/peer_reports.cpp
+++ b/src/decision/peer_reports.cpp
@@ -30,6 +30,10 @@
 std::uint32_t doubting_peers(const target_peer_reports& known,
                              const own_success_times& own, time_point now)
 {
+    if (now >= known.doubts_until)
+    {
+        return 0;
+    }
     const auto counts = [&](const peer_report& each)
     {
         return !is_free(each) && now < each.seen_at + max_doubt_age &&
@@ -77,9 +81,14 @@
                                  [](const peer_report& left, const peer_report& right)
                                  { return left.seen_at < right.seen_at; });
     }
-    if (report.seen_at >= place->seen_at)
+    if (report.seen_at < place->seen_at)
+    {
+        return;
+    }
+    *place = report;
+    if (report.kind != evidence_kind::speed)
     {
-        *place = report;
+        known.doubts_until = std::max(known.doubts_until, report.seen_at + max_doubt_age);
     }
 }
 
--- a/src/decision/target_cost.cpp
+++ b/src/decision/target_cost.cpp
@@ -22,8 +22,6 @@
 constexpr double idle_speed_exponent = 5;
 /// The weight limit of a fast target, as a multiple of a usual target's weight.
 constexpr double max_speed_weight = 4;
-/// How steeply the weight of a target falls with the flows that this instance has there.
-constexpr double load_exponent = 4;
 
 double slowness_of(const target_stats& stats, double mean_response_time_ms)
 {
@@ -35,28 +33,47 @@
                       1.0, max_slowness);
 }
 
+/// Returns \p value to the power of 4: how steeply the weight of a target falls with the
+/// flows that this instance has there.
+double fourth_power(double value)
+{
+    const double square = value * value;
+    return square * square;
+}
+
 } // namespace
 
+target_estimate estimate_of(const target_stats& stats, const service_stats& service,
+                            const selection_options& options, time_point now)
+{
+    target_estimate result{.slowness = slowness_of(stats, service.mean_response_time_ms),
+                           .is_outdated = false};
+    if (options.uses_speeds)
+    {
+        const double free_share = 1 - std::clamp(service.utilization, 0.0, 1.0);
+        const double exponent = 1 + idle_speed_exponent * free_share;
+        result.speed = speed_of(stats.speed, now);
+        result.idle_weight = std::min(std::pow(result.speed, exponent), max_speed_weight);
+    }
+    return result;
+}
+
 double cost_of(const target_selector& selector, const known_target& target,
-               const target_stats& stats, double mean_response_time_ms, time_point now)
+               const target_stats& stats, time_point now)
 {
     const double slots = std::max(1U, target.record.slots);
     const double load = stats.in_flight / slots;
-    double cost = (1 + load) * slowness_of(stats, mean_response_time_ms);
+    double cost = (1 + load) * stats.estimate.slowness;
     cost *= is_warming_up(target, nullptr, now) ? warm_up_cost_factor : 1;
     cost += target.record.data_centre == selector.local_data_centre ? 0 : remote_cost;
     return cost;
 }
 
-double weight_of(const known_target& target, const target_stats& stats, double speed,
-                 double utilization, time_point now)
+double weight_of(const known_target& target, const target_stats& stats, time_point now)
 {
     const double slots = std::max(1U, target.record.slots);
-    const double emptiness = 1 / (1 + stats.in_flight / slots);
-    const double free_share = 1 - std::clamp(utilization, 0.0, 1.0);
-    const double exponent = 1 + idle_speed_exponent * free_share;
-    const double weight = std::min(std::pow(speed, exponent), max_speed_weight) *
-                          std::pow(emptiness, load_exponent);
+    const double load = stats.in_flight / slots;
+    const double weight = stats.estimate.idle_weight / fourth_power(1 + load);
     return is_warming_up(target, nullptr, now) ? weight / warm_up_cost_factor : weight;
 }
 
--- a/src/decision/target_evidence.cpp
+++ b/src/decision/target_evidence.cpp
@@ -54,11 +54,12 @@
     const auto service = selector.services.find(target.record.service);
     const double mean_share =
         service == selector.services.end() ? 0 : service->second.quick_share;
-    const answer_counts answers = decayed(stats.answers, now);
-    if (is_recent(stats.quick_answer_at, now) && is_doubtful(answers, mean_share))
+    if (is_recent(stats.quick_answer_at, now) &&
+        is_doubtful(stats.answers, mean_share, now))
     {
-        target_evidence doubt = make_evidence(target, evidence_kind::quick_answers,
-                                              std::max(1.0, answers.quick));
+        const double quick = decayed(stats.answers, now).quick;
+        target_evidence doubt =
+            make_evidence(target, evidence_kind::quick_answers, std::max(1.0, quick));
         doubt.age = age_of(stats.quick_answer_at, now);
         doubts.push_back(doubt);
     }
@@ -278,6 +279,7 @@
                                            .log_slowness = each.level * log_slowness_step,
                                            .seen_at = now - each.age});
         stats.speed.reported = reported_speed(stats.peer_reports, now);
+        stats.estimate.is_outdated = true;
     }
 }
 
@@ -312,6 +314,7 @@
             report = is_silent(report) ? peer_report() : report;
         }
         each.speed.reported = reported_speed(each.peer_reports, now);
+        each.estimate.is_outdated = true;
     }
 }
 
--- a/src/decision/target_selector.cpp
+++ b/src/decision/target_selector.cpp
@@ -62,8 +62,6 @@
     /// The target or its data centre is suspect, so it gets trial flows only.
     bool is_unresponsive = false;
     avoidance_rank rank = 0;
-    /// The estimated speed; 1 unless speeds are used.
-    double speed = 1;
     /// Added to the cost while the target warms up.
     double warm_up_cost = 0;
 };
@@ -97,6 +95,13 @@
     return each.is_unresponsive || each.stats->is_failing;
 }
 
+bool has_suspect_data_centre(const target_selector& selector)
+{
+    return std::any_of(selector.data_centres.begin(), selector.data_centres.end(),
+                       [&](const auto& each)
+                       { return is_data_centre_suspect(selector, each.first); });
+}
+
 avoidance_rank rank_of(const candidate& each, const selection_request& request,
                        const service_stats& service, time_point now)
 {
@@ -116,22 +121,30 @@
 
 candidate assess(target_selector& selector, const target_directory& directory,
                  const selection_request& request, const service_stats& service,
-                 const target_index& index, time_point now)
+                 const target_index& index, bool has_suspect_data_centre, time_point now)
 {
     const known_target& target = directory.targets[index];
     target_stats& stats = stats_of(selector, directory, index);
     stats.known_since = stats.known_since.value_or(now);
     candidate result{.index = &index, .target = &target, .stats = &stats};
     result.is_unresponsive =
-        is_suspect(stats) || is_data_centre_suspect(selector, target.record.data_centre);
+        is_suspect(stats) ||
+        (has_suspect_data_centre &&
+         is_data_centre_suspect(selector, target.record.data_centre));
     result.rank = rank_of(result, request, service, now);
-    result.speed = selector.options.uses_speeds ? speed_of(stats.speed, now) : 1;
+    if (stats.estimate.is_outdated)
+    {
+        stats.estimate = estimate_of(stats, service, selector.options, now);
+    }
     return result;
 }
 
 bool is_full(const candidate& each)
 {
-    return each.stats->in_flight >= max_flows_at(*each.target, each.speed);
+    // Each target may have at least one.
+    return each.stats->in_flight > 0 &&
+           each.stats->in_flight >=
+               max_flows_at(*each.target, each.stats->estimate.speed);
 }
 
 void count_load(service_load& load, const candidate& each)
@@ -211,13 +224,17 @@
     return -std::log1p(-uniform) / weight;
 }
 
+/// Returns a lower bound of weighted_draw() that needs no logarithm.
+double least_weighted_draw(double weight, double uniform)
+{
+    return uniform / weight;
+}
+
 void compare(comparison& result, const target_selector& selector,
-             const selection_request& request, const service_stats& service,
-             const candidate& each, time_point now)
+             const selection_request& request, const candidate& each, time_point now)
 {
     const double cost =
-        cost_of(selector, *each.target, *each.stats, service.mean_response_time_ms, now) +
-        each.warm_up_cost;
+        cost_of(selector, *each.target, *each.stats, now) + each.warm_up_cost;
     const double uniform = jitter(request.random, *each.index);
     if (!selector.options.uses_speeds)
     {
@@ -225,10 +242,12 @@
         return;
     }
     const bool is_local = each.target->record.data_centre == selector.local_data_centre;
-    const double weight =
-        weight_of(*each.target, *each.stats, each.speed, service.utilization, now);
-    consider(is_local ? result.local : result.remote, each, cost,
-             weighted_draw(weight, uniform) + each.warm_up_cost);
+    choice& place = is_local ? result.local : result.remote;
+    const double weight = weight_of(*each.target, *each.stats, now);
+    const double least_draw = least_weighted_draw(weight, uniform) + each.warm_up_cost;
+    const bool may_win = each.rank < place.rank || least_draw < place.draw;
+    consider(place, each, cost,
+             may_win ? weighted_draw(weight, uniform) + each.warm_up_cost : least_draw);
 }
 
 /// Records the selection of \p selected, unless that is null, and returns it.
@@ -249,6 +268,7 @@
                            time_point now)
 {
     comparison result{.load = {.instances = selector.instances}};
+    const bool any_suspect = has_suspect_data_centre(selector);
     for (const target_index& index : targets_of(directory, request.service))
     {
         const warm_up_use warm_up = warm_up_use_of(selector.warm_up, request.warm_up,
@@ -257,7 +277,8 @@
         {
             continue;
         }
-        candidate each = assess(selector, directory, request, service, index, now);
+        candidate each =
+            assess(selector, directory, request, service, index, any_suspect, now);
         each.warm_up_cost = warm_up.cost;
         count_load(result.load, each);
         if (request.may_wait && each.rank < unhealthy_rank && is_full(each))
@@ -266,7 +287,7 @@
             continue;
         }
         consider_trial(selector, result, each, now);
-        compare(result, selector, request, service, each, now);
+        compare(result, selector, request, each, now);
     }
     return result;
 }
--- a/src/decision/target_stats.cpp
+++ b/src/decision/target_stats.cpp
@@ -98,7 +98,7 @@
 {
     return !stats.known_since || now < *stats.known_since + proving_time ||
            stats.overdue_openings > 0 ||
-           is_doubtful(decayed(stats.answers, now), mean_quick_share);
+           is_doubtful(stats.answers, mean_quick_share, now);
 }
 
 std::uint32_t doubts_about(const target_stats& stats, time_point now)
@@ -150,6 +150,7 @@
         stats.real_answer_at = {};
         stats.peer_reports = {};
         stats.is_avoided_by_peer_reports = false;
+        stats.estimate = {};
     }
     return stats;
 }
@@ -211,6 +212,7 @@
         is_quick(processing_time, mean - std::min(mean, round_trip));
     count_answer(target.answers, is_quick_answer, now);
     (is_quick_answer ? target.quick_answer_at : target.real_answer_at) = now;
+    target.estimate.is_outdated = true;
     if (selector.options.uses_speeds && !is_quick_answer &&
         !is_warming_up(directory.targets[index], nullptr, now))
     {
@@ -249,6 +251,7 @@
     {
         target_stats& stats = selector.stats[index];
         stats.is_failing = is_failing(decayed(stats.answers, now), service.quick_share);
+        stats.estimate.is_outdated = true;
         failing_targets += stats.is_failing ? 1U : 0U;
     }
     if (static_cast<double>(failing_targets) > max_failing_share * answering_targets)
