Evidence: list doubts as they arise and draw speeds without sorting

Cause: each local heartbeat, about 20 a second, looked through all targets, decayed the answers and the speed of each and sorted all speeds by a hash, to send 2 to 6 entries. Change: overdue openings and quick answers list their target; a heartbeat looks through this list. Targets with known speeds are found in a review whose interval grows with the targets; a heartbeat draws from them (the first steps of a Fisher-Yates shuffle) and checks just the drawn ones. The median of reports allocates no memory, and peers are looked up only for reports that exist. Tests: doubts go out with the next heartbeat and end when refuted, also for a target that takes over an index; targets without new flows are not reported; all known speeds have the same chance. Conclusion: a heartbeat costs in proportion to the doubts.

--- a/bench/hot_path_benchmark.cpp
+++ b/bench/hot_path_benchmark.cpp
@@ -155,12 +155,15 @@
     time_point now(std::chrono::seconds(100));
     entry_instance self =
         instance_with_answers(static_cast<std::size_t>(state.range(0)), now);
-    record_opening_overdue(self.steering.selector, self.directory, 1, now);
+    for (target_stats& each : self.steering.selector.stats)
+    {
+        // So many that the evidence does not fade in the course of the benchmark.
+        each.speed.own.answers = 1e300;
+    }
     fleet_heartbeat heartbeat;
     for (auto _ : state)
     {
-        // Time goes on slowly, so that the evidence stays recent.
-        now += std::chrono::nanoseconds(50);
+        now += std::chrono::milliseconds(50);
         ++self.heartbeats_sent;
         add_evidence(self, heartbeat, now);
         benchmark::DoNotOptimize(heartbeat.evidence.data());
--- a/include/kumquatpath/decision/target_evidence.hpp
+++ b/include/kumquatpath/decision/target_evidence.hpp
@@ -67,8 +67,8 @@
 /// Returns a hash of \p incarnation that tells it from the next one.
 std::uint16_t incarnation_check(std::uint64_t incarnation);
 
-/// Returns the evidence of this instance to report: the newest doubt, then other doubts,
-/// then speeds.
+/// Returns the evidence of this instance to report, as of the last
+/// review_evidence_to_report(): the newest doubt, then other doubts, then speeds.
 std::vector<target_evidence> evidence_to_report(const flow_steering& steering,
                                                 const target_directory& directory,
                                                 const evidence_request& request,
@@ -79,6 +79,12 @@
 
 // Commands.
 
+/// Looks for evidence to report; to be called before each evidence_to_report(). Doubts
+/// are found at once; all targets are looked through for known speeds only at intervals,
+/// see review_interval().
+void review_evidence_to_report(target_selector& selector,
+                               const target_directory& directory, time_point now);
+
 /// Records \p evidence, which a heartbeat of \p peer carried, and counts it.
 void record_evidence(target_selector& selector, const target_directory& directory,
                      const fleet_peer& peer, std::span<const target_evidence> evidence,
--- a/include/kumquatpath/decision/target_stats.hpp
+++ b/include/kumquatpath/decision/target_stats.hpp
@@ -73,6 +73,8 @@
     time_point real_answer_at;
     /// What peers have reported.
     target_peer_reports peer_reports;
+    /// The target is in reportable_evidence::doubted.
+    bool is_listed_as_doubted = false;
 };
 
 /// Measurements of all targets of one service.
@@ -115,6 +117,21 @@
     duration trial_interval{0};
 };
 
+/// What this instance may report about targets to its peers.
+struct reportable_evidence
+{
+    /// Targets that had an overdue opening or a quick answer since the last review, and
+    /// those of \c doubts.
+    std::vector<target_index> doubted;
+    /// One for each doubted target, as of the last review.
+    std::vector<target_evidence> doubts;
+    /// Targets whose speed is known, as of measured_at.
+    std::vector<target_index> measured;
+    /// The number of targets that take new flows, as of measured_at.
+    std::size_t usable_targets = 0;
+    time_point measured_at;
+};
+
 /// How targets are selected.
 struct selection_options
 {
@@ -146,6 +163,7 @@
     /// sound.
     std::uint64_t flows_placed_at_risk = 0;
     warm_up_allowance warm_up;
+    reportable_evidence reportable;
 };
 
 // Queries.
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -284,6 +284,7 @@
 
 void add_evidence(entry_instance& self, fleet_heartbeat& heartbeat, time_point now)
 {
+    review_evidence_to_report(self.steering.selector, self.directory, now);
     heartbeat.evidence = evidence_to_report(
         self.steering, self.directory,
         {.max_count = is_large(self.fleet) ? max_evidence_per_heartbeat_in_large_fleet
--- a/src/decision/peer_reports.cpp
+++ b/src/decision/peer_reports.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
+#include <limits>
 
 namespace kumquatpath
 {
@@ -45,25 +45,27 @@
 
 speed_evidence reported_speed(const target_peer_reports& known, time_point now)
 {
-    std::vector<double> values;
+    std::array<double, max_reports_per_target> values;
+    values.fill(std::numeric_limits<double>::infinity());
+    std::size_t count = 0;
     for (const peer_report& each : known.speeds)
     {
         if (!is_free(each) && now < each.seen_at + max_speed_report_age)
         {
-            values.push_back(each.log_slowness);
+            values[count++] = each.log_slowness;
         }
     }
-    if (values.size() < min_speed_reports)
+    if (count < min_speed_reports)
     {
         return {};
     }
     std::sort(values.begin(), values.end());
-    const double upper = values[values.size() / 2];
-    const double lower = values[(values.size() - 1) / 2];
+    const double upper = values[count / 2];
+    const double lower = values[(count - 1) / 2];
     const bool is_usual_between = lower < 0 && upper > 0;
     const double nearer = std::abs(lower) < std::abs(upper) ? lower : upper;
     return {.log_slowness = is_usual_between ? 0 : nearer,
-            .answers = answers_per_speed_report * static_cast<double>(values.size()),
+            .answers = answers_per_speed_report * static_cast<double>(count),
             .updated_at = now};
 }
 
--- a/src/decision/target_stats.cpp
+++ b/src/decision/target_stats.cpp
@@ -39,6 +39,19 @@
     return old_value == 0 ? sample : old_value + factor * (sample - old_value);
 }
 
+/// Has the doubt about the target at \p index reported with the next heartbeat.
+void list_as_doubted(target_selector& selector, target_index index)
+{
+    std::vector<target_index>& doubted = selector.reportable.doubted;
+    bool& is_listed = selector.stats[index].is_listed_as_doubted;
+    if (selector.options.uses_peer_evidence && !is_listed &&
+        doubted.size() < selector.stats.size())
+    {
+        is_listed = true;
+        doubted.push_back(index);
+    }
+}
+
 /// Sets service_stats::may_avoid_unproven from the targets that take new flows.
 void review_unproven_targets(target_selector& selector, const target_directory& directory,
                              service_stats& service,
@@ -188,6 +201,7 @@
     {
         ++target.overdue_openings;
         target.overdue_opening_sent_at = std::max(target.overdue_opening_sent_at, sent);
+        list_as_doubted(selector, index);
     }
     data_centre_stats& data_centre =
         selector.data_centres[directory.targets[index].record.data_centre];
@@ -213,6 +227,10 @@
     count_answer(target.answers, is_quick_answer, now);
     (is_quick_answer ? target.quick_answer_at : target.real_answer_at) = now;
     target.estimate.is_outdated = true;
+    if (is_quick_answer)
+    {
+        list_as_doubted(selector, index);
+    }
     if (selector.options.uses_speeds && !is_quick_answer &&
         !is_warming_up(directory.targets[index], nullptr, now))
     {
--- a/test/decision/target_evidence_report_test.cpp
+++ b/test/decision/target_evidence_report_test.cpp
@@ -3,6 +3,9 @@
 
 #include "target_evidence_fixture.hpp"
 
+#include <cmath>
+#include <map>
+
 using namespace kumquatpath;
 using namespace kumquatpath::test;
 using namespace std::chrono_literals;
@@ -107,3 +110,67 @@
         {.max_count = max_evidence_per_heartbeat_in_large_fleet, .random = 3}, now);
     LONGS_EQUAL(max_evidence_per_heartbeat_in_large_fleet, few.size());
 }
+
+TEST(target_evidence_report, a_new_doubt_is_reported_with_the_next_heartbeat)
+{
+    LONGS_EQUAL(0, report_of(self).size());
+    leave_unanswered(self, 5);
+    LONGS_EQUAL(1, report_of(self).size());
+    now += 1ms;
+    answer_opening(self, 5);
+    LONGS_EQUAL_TEXT(0, report_of(self).size(), "refuted");
+    now += 1ms;
+    leave_unanswered(self, 5);
+    const std::vector<target_evidence> report = report_of(self);
+    LONGS_EQUAL(1, report.size());
+    CHECK_TRUE(report[0].target == about(5).target);
+}
+
+TEST(target_evidence_report, a_target_that_takes_over_an_index_does_not_inherit_a_doubt)
+{
+    leave_unanswered(self, 5);
+    LONGS_EQUAL(1, report_of(self).size());
+    announce(self, 6, 100, 7);
+    LONGS_EQUAL_TEXT(0, report_of(self).size(), "the target has restarted");
+    leave_unanswered(self, 5);
+    LONGS_EQUAL_TEXT(1, report_of(self).size(), "its new start is doubted once");
+}
+
+TEST(target_evidence_report, a_target_that_takes_no_new_flows_is_not_reported)
+{
+    for (int round = 0; round < 10; ++round)
+    {
+        answer_request(self, 5, 60ms);
+    }
+    LONGS_EQUAL(1, report_of(self).size());
+    apply_change(self.directory, departure(6, 100), now);
+    LONGS_EQUAL(0, report_of(self).size());
+}
+
+TEST(target_evidence_report, each_known_speed_has_the_same_chance_to_be_reported)
+{
+    for (int round = 0; round < 10; ++round)
+    {
+        for (target_index index = 0; index < target_count; ++index)
+        {
+            answer_request(self, index, 60ms);
+        }
+    }
+    std::map<std::uint32_t, int> reported;
+    constexpr int reports = 1000;
+    for (int i = 0; i < reports; ++i)
+    {
+        ++self.heartbeats_sent;
+        for (const target_evidence& each : report_of(self))
+        {
+            ++reported[each.target.value];
+        }
+    }
+    LONGS_EQUAL(target_count, reported.size());
+    // Six of twelve are reported each time, so each with an even chance: four standard
+    // deviations.
+    for (const auto& [target, count] : reported)
+    {
+        DOUBLES_EQUAL(reports / 2.0, count, 4 * std::sqrt(reports / 4.0));
+    }
+}
