Target review: one pass to judge, and intervals that grow with the targets

Cause: update_service_stats went five times over all targets of a service every 50 ms, decayed the answers of each three times and had all speeds computed anew; it held the jobs of four functions. Ruled out: one pass for means and judgement, as targets would be judged by the means of the last review. Change: target_review measures the means, judges the targets in one pass and applies the limits in another one only if a limit is exceeded; target_health has the queries about health. No more than 12,000 targets a second are judged and 2,400 estimated anew; a service of 120 keeps 50 ms. Shares of quick answers need no decay, and only targets with quick answers are decayed. The choice multiplies with the inverse weight.

--- a/bench/hot_path_benchmark.cpp
+++ b/bench/hot_path_benchmark.cpp
@@ -3,6 +3,7 @@
 /// several numbers of targets and instances.
 
 #include <kumquatpath/decision/entry_instance.hpp>
+#include <kumquatpath/decision/target_review.hpp>
 #include <kumquatpath/edge/fleet_codec.hpp>
 
 #include <benchmark/benchmark.h>
@@ -148,6 +149,22 @@
 }
 BENCHMARK(select_target_after_pause)->Arg(120)->Arg(3000);
 
+/// Measures a review of a service's targets. The argument is the number of targets.
+void review_targets(benchmark::State& state)
+{
+    time_point now(std::chrono::seconds(100));
+    entry_instance self =
+        instance_with_answers(static_cast<std::size_t>(state.range(0)), now);
+    target_selector& selector = self.steering.selector;
+    for (auto _ : state)
+    {
+        now += std::chrono::seconds(2);
+        review_service(selector, self.directory, selector.services[benchmark_service],
+                       targets_of(self.directory, benchmark_service), now);
+    }
+}
+BENCHMARK(review_targets)->Arg(120)->Arg(3000);
+
 /// Measures the choice of the evidence of a heartbeat, at 20 heartbeats a second. The
 /// argument is the number of targets.
 void report_evidence(benchmark::State& state)
--- a/include/kumquatpath/decision/target_cost.hpp
+++ b/include/kumquatpath/decision/target_cost.hpp
@@ -10,8 +10,8 @@
 namespace kumquatpath
 {
 
-/// Returns the estimate of a target of \p service with \p stats. Its idle weight is in
-/// proportion to its speed if all slots of the service are in use, and prefers fast
+/// Returns the estimate of a target of \p service with \p stats. The weight of the target
+/// is in proportion to its speed if all slots of the service are in use, and prefers fast
 /// targets the more slots are free.
 target_estimate estimate_of(const target_stats& stats, const service_stats& service,
                             const selection_options& options, time_point now);
@@ -20,9 +20,11 @@
 double cost_of(const target_selector& selector, const known_target& target,
                const target_stats& stats, time_point now);
 
-/// Returns the weight of \p target in a random choice by speed. It falls with the flows
-/// of this instance there.
-double weight_of(const known_target& target, const target_stats& stats, time_point now);
+/// Returns the inverse of the weight of \p target in a random choice by speed. It is the
+/// mean of an exponentially distributed number; the target with the lowest number is
+/// chosen. It rises with the flows of this instance there.
+double mean_draw_of(const known_target& target, const target_stats& stats,
+                    time_point now);
 
 /// Returns the number of flows that this instance may have in flight at \p target with
 /// \p speed; at least 1.
--- a/include/kumquatpath/decision/target_evidence.hpp
+++ b/include/kumquatpath/decision/target_evidence.hpp
@@ -9,7 +9,7 @@
 /// no unanswered openings of a data centre that looks suspect to it, and no doubts while
 /// the fabric rehashes flows or while it doubts many targets: the cause is then more
 /// likely near the instance than in the targets. What reports lead to is decided with the
-/// other measurements; see update_service_stats().
+/// other measurements; see review_service().
 
 #include <kumquatpath/decision/fleet_peers.hpp>
 #include <kumquatpath/decision/flow_steering.hpp>
--- a/include/kumquatpath/decision/target_selector.hpp
+++ b/include/kumquatpath/decision/target_selector.hpp
@@ -14,7 +14,7 @@
 /// reason for doubt. Trial flows are left to requests that may be repeated, unless the
 /// service has had none for a while.
 
-#include <kumquatpath/decision/target_stats.hpp>
+#include <kumquatpath/decision/target_health.hpp>
 
 namespace kumquatpath
 {
--- a/include/kumquatpath/decision/target_stats.hpp
+++ b/include/kumquatpath/decision/target_stats.hpp
@@ -31,9 +31,9 @@
 {
     /// As by speed_of(); 1 unless speeds are used.
     double speed = 1;
-    /// The weight of the target in a random choice while no flow of this instance is
-    /// there.
-    double idle_weight = 1;
+    /// The inverse of the target's weight in a random choice while no flow of this
+    /// instance is there.
+    double idle_mean_draw = 1;
     /// The factor by which answers take longer than usual.
     double slowness = 1;
     bool is_outdated = true;
@@ -99,7 +99,12 @@
     bool may_avoid_doubted = false;
     /// The number of targets with target_stats::is_avoided_by_peer_reports.
     std::uint32_t targets_avoided_by_peer_reports = 0;
-    time_point updated_at;
+    /// The number of targets that have answered requests.
+    double answering_targets = 0;
+    /// When it was last decided which targets are avoided.
+    time_point judged_at;
+    /// When all estimates of the targets were last marked as outdated.
+    time_point estimated_at;
 };
 
 /// Measurements of all targets of one data centre; a network partition shows up here
@@ -168,22 +173,6 @@
 
 // Queries.
 
-/// Returns whether \p id is suspect because too many openings to its targets are overdue.
-bool is_data_centre_suspect(const target_selector& selector, data_centre_id id);
-
-/// Returns whether there is a reason to keep requests that may not be repeated away from
-/// the target of \p stats, though it is healthy: it has not been known for long, its
-/// newest opening is overdue, or it gave answers that were too quick. \p mean_quick_share
-/// is that of its service.
-bool is_unproven(const target_stats& stats, double mean_quick_share, time_point now);
-
-/// Returns how much reason peers and an own overdue opening give to doubt the target of
-/// \p stats: one for each peer, and one for the opening if a peer doubts as well.
-std::uint32_t doubts_about(const target_stats& stats, time_point now);
-
-/// Returns whether \p target is suspect because too many of its openings are overdue.
-bool is_suspect(const target_stats& target);
-
 /// Returns how long an opening may stay unanswered before it is overdue.
 duration opening_timeout(const target_selector& selector);
 
@@ -209,13 +198,6 @@
                              target_index index, duration time, duration goal,
                              time_point now);
 
-/// Updates the means of \p service from its targets, \p candidates, if that is due, and
-/// detects which of them are failing and whether the unproven ones can be done without.
-/// If most are, the cause is not in the targets alone and none is avoided.
-void update_service_stats(target_selector& selector, const target_directory& directory,
-                          service_stats& service,
-                          std::span<const target_index> candidates, time_point now);
-
 } // namespace kumquatpath
 
 #endif
--- a/src/decision/target_cost.cpp
+++ b/src/decision/target_cost.cpp
@@ -33,6 +33,15 @@
                       1.0, max_slowness);
 }
 
+/// Returns the flows of this instance at \p target for each of its slots.
+double load_of(const known_target& target, const target_stats& stats)
+{
+    // Most targets have none, and a division takes long.
+    return stats.in_flight == 0
+               ? 0
+               : stats.in_flight / static_cast<double>(std::max(1U, target.record.slots));
+}
+
 /// Returns \p value to the power of 4: how steeply the weight of a target falls with the
 /// flows that this instance has there.
 double fourth_power(double value)
@@ -53,7 +62,8 @@
         const double free_share = 1 - std::clamp(service.utilization, 0.0, 1.0);
         const double exponent = 1 + idle_speed_exponent * free_share;
         result.speed = speed_of(stats.speed, now);
-        result.idle_weight = std::min(std::pow(result.speed, exponent), max_speed_weight);
+        result.idle_mean_draw =
+            1 / std::min(std::pow(result.speed, exponent), max_speed_weight);
     }
     return result;
 }
@@ -61,20 +71,17 @@
 double cost_of(const target_selector& selector, const known_target& target,
                const target_stats& stats, time_point now)
 {
-    const double slots = std::max(1U, target.record.slots);
-    const double load = stats.in_flight / slots;
-    double cost = (1 + load) * stats.estimate.slowness;
+    double cost = (1 + load_of(target, stats)) * stats.estimate.slowness;
     cost *= is_warming_up(target, nullptr, now) ? warm_up_cost_factor : 1;
     cost += target.record.data_centre == selector.local_data_centre ? 0 : remote_cost;
     return cost;
 }
 
-double weight_of(const known_target& target, const target_stats& stats, time_point now)
+double mean_draw_of(const known_target& target, const target_stats& stats, time_point now)
 {
-    const double slots = std::max(1U, target.record.slots);
-    const double load = stats.in_flight / slots;
-    const double weight = stats.estimate.idle_weight / fourth_power(1 + load);
-    return is_warming_up(target, nullptr, now) ? weight / warm_up_cost_factor : weight;
+    const double mean =
+        stats.estimate.idle_mean_draw * fourth_power(1 + load_of(target, stats));
+    return is_warming_up(target, nullptr, now) ? mean * warm_up_cost_factor : mean;
 }
 
 std::uint32_t max_flows_at(const known_target& target, double speed)
--- a/src/decision/target_selector.cpp
+++ b/src/decision/target_selector.cpp
@@ -1,4 +1,5 @@
 #include <kumquatpath/decision/target_cost.hpp>
+#include <kumquatpath/decision/target_review.hpp>
 #include <kumquatpath/decision/target_selector.hpp>
 
 #include <algorithm>
@@ -95,13 +96,6 @@
     return each.is_unresponsive || each.stats->is_failing;
 }
 
-bool has_suspect_data_centre(const target_selector& selector)
-{
-    return std::any_of(selector.data_centres.begin(), selector.data_centres.end(),
-                       [&](const auto& each)
-                       { return is_data_centre_suspect(selector, each.first); });
-}
-
 avoidance_rank rank_of(const candidate& each, const selection_request& request,
                        const service_stats& service, time_point now)
 {
@@ -217,17 +211,17 @@
                                                           : compared.local;
 }
 
-/// Returns a random number that is the lowest one of a set with a probability in
-/// proportion to \p weight: the time to the first event of a Poisson process.
-double weighted_draw(double weight, double uniform)
+/// Returns an exponentially distributed number with the mean \p mean. The lowest one of a
+/// set belongs to a member with a probability in proportion to the inverse of its mean.
+double exponential_draw(double mean, double uniform)
 {
-    return -std::log1p(-uniform) / weight;
+    return -std::log1p(-uniform) * mean;
 }
 
-/// Returns a lower bound of weighted_draw() that needs no logarithm.
-double least_weighted_draw(double weight, double uniform)
+/// Returns a lower bound of exponential_draw() that needs no logarithm.
+double least_exponential_draw(double mean, double uniform)
 {
-    return uniform / weight;
+    return uniform * mean;
 }
 
 void compare(comparison& result, const target_selector& selector,
@@ -243,11 +237,11 @@
     }
     const bool is_local = each.target->record.data_centre == selector.local_data_centre;
     choice& place = is_local ? result.local : result.remote;
-    const double weight = weight_of(*each.target, *each.stats, now);
-    const double least_draw = least_weighted_draw(weight, uniform) + each.warm_up_cost;
+    const double mean = mean_draw_of(*each.target, *each.stats, now);
+    const double least_draw = least_exponential_draw(mean, uniform) + each.warm_up_cost;
     const bool may_win = each.rank < place.rank || least_draw < place.draw;
     consider(place, each, cost,
-             may_win ? weighted_draw(weight, uniform) + each.warm_up_cost : least_draw);
+             may_win ? exponential_draw(mean, uniform) + each.warm_up_cost : least_draw);
 }
 
 /// Records the selection of \p selected, unless that is null, and returns it.
@@ -300,8 +294,8 @@
 {
     service_stats& service = selector.services[request.service];
     selector.stats.resize(std::max(selector.stats.size(), directory.targets.size()));
-    update_service_stats(selector, directory, service,
-                         targets_of(directory, request.service), now);
+    review_service(selector, directory, service, targets_of(directory, request.service),
+                   now);
     if (request.is_repeatable)
     {
         service.repeatable_seen_at = now;
--- a/src/decision/target_speed.cpp
+++ b/src/decision/target_speed.cpp
@@ -40,6 +40,10 @@
 
 speed_evidence decayed(const speed_evidence& evidence, time_point now)
 {
+    if (evidence.answers == 0)
+    {
+        return {.updated_at = now};
+    }
     const double age = milliseconds_of(std::max(now - evidence.updated_at, duration(0)));
     const double factor = std::exp(-age / milliseconds_of(evidence_decay_time));
     return {.log_slowness = evidence.log_slowness,
--- a/test/decision/target_choice_test.cpp
+++ b/test/decision/target_choice_test.cpp
@@ -112,3 +112,30 @@
     }
     CHECK_TRUE_TEXT(placed < 20, "it is slow, and got an eighth of the flows or so");
 }
+
+TEST(target_choice,
+     a_service_of_120_targets_is_reviewed_every_50_ms_and_a_larger_one_later)
+{
+    for (const auto& [targets, interval] :
+         {std::pair(120U, duration(50ms)), std::pair(3000U, duration(250ms))})
+    {
+        target_directory many;
+        std::vector<target_index> all;
+        for (std::uint64_t key = 1; key <= targets; ++key)
+        {
+            apply_change(many, announcement(key, key), now);
+        }
+        target_selector fresh{.local_data_centre = north};
+        select_target(fresh, many, {.service = web}, now);
+        for (target_stats& each : fresh.stats)
+        {
+            each.answers = {.total = 10, .updated_at = now};
+        }
+        // Too many quick answers, which the next review finds.
+        fresh.stats[0].answers = {.quick = 10, .total = 10, .updated_at = now};
+        select_target(fresh, many, {.service = web}, now + interval - 1ms);
+        CHECK_FALSE(fresh.stats[0].is_failing);
+        select_target(fresh, many, {.service = web}, now + interval);
+        CHECK_TRUE(fresh.stats[0].is_failing);
+    }
+}
--- a/test/decision/target_speed_test.cpp
+++ b/test/decision/target_speed_test.cpp
@@ -357,3 +357,12 @@
     record_request_answered(selector, directory, 0, 500ms, 0ms, now + 3s);
     CHECK_TRUE(speed_of(selector.stats[0].speed, now + 3s) < 1);
 }
+
+TEST(target_speed, the_first_answer_fades_from_its_own_time_on)
+{
+    target_speed speed;
+    usual_answer_time usual{.log_time = std::log(47), .answers = 64};
+    record_answer_time(speed, usual, 200ms, now);
+    CHECK_TRUE(speed.own.updated_at == now);
+    DOUBLES_EQUAL(1, decayed(speed.own, now).answers, 1e-9);
+}
