Evidence: one limit for the age of reported speeds, an honest age, forgetting at once

Cause: a speed was sent with age 0 whenever it had been learnt; the receiver held it to the limit of doubts (5 s), counted it for 20 s and let it fade in 20 s, but from each review of every 500 ms on, so not at all. After a restart of its peer a report went on counting until the next review. Ruled out: a limit within the 6.3 s that 6 bits hold in steps of 100 ms, since instances of a large fleet see a target less often. Change: max_speed_report_age for the sender, the receiver and the count; the age is that of the newest answer, on the wire in steps of 400 ms; it fades from then on; forget_evidence_of reviews the reported speed. Before and after: the tests of the age, of the limit and of the restart failed before (age 0 instead of 3 s; speed without effect, as dropped; 0.67 instead of 1) and pass now; that of the fading has had its last check, which the old code fails by dropping the report, added after the change. Changed test: fleet_codec expected the age of a speed to end at 6.3 s; it now expects 25.2 s, and checks 6.3 s for a doubt and 19.6 s for a speed of 19.9 s as well. decision_test: 301 tests pass; edge_test: 15 pass. Conclusion: a report says how old it is, and no longer counts than that allows.

--- a/include/kumquatpath/decision/peer_reports.hpp
+++ b/include/kumquatpath/decision/peer_reports.hpp
@@ -20,7 +20,7 @@
 /// A doubt that rests on events older than this counts for nothing.
 inline constexpr duration max_doubt_age = std::chrono::seconds(5);
 
-/// A reported speed older than this counts for nothing.
+/// A speed whose newest answer is older than this is not reported and counts for nothing.
 inline constexpr duration max_speed_report_age = std::chrono::seconds(20);
 
 /// The number of reports of each sort that are kept for a target. A further one takes the
@@ -67,8 +67,12 @@
 std::uint32_t doubting_peers(const target_peer_reports& known,
                              const own_success_times& own, time_point now);
 
-/// Returns the median of the reported speeds as evidence; without weight if fewer than
-/// two peers report one. Of two medians, returns the one nearer to the usual speed.
+/// Returns the longest age at which evidence of \p kind counts.
+duration max_age_of(evidence_kind kind);
+
+/// Returns the median of the reported speeds as evidence, as old as the newest of them;
+/// without weight if fewer than two peers report one. Of two medians, returns the one
+/// nearer to the usual speed.
 speed_evidence reported_speed(const target_peer_reports& known, time_point now);
 
 // Commands.
@@ -76,8 +80,25 @@
 /// Records \p report. Does nothing if a newer one of the same peer is known.
 void record_report(target_peer_reports& known, const peer_report& report);
 
-/// Removes the reports of \p peer.
-void forget_peer(target_peer_reports& known, instance_id peer);
+/// Removes the reports for which \p is_ended returns true. Returns whether there were
+/// any.
+template <class Predicate>
+bool forget_reports_if(target_peer_reports& known, const Predicate& is_ended)
+{
+    bool was_any = false;
+    for (target_peer_reports::reports* const reports : {&known.doubts, &known.speeds})
+    {
+        for (peer_report& each : *reports)
+        {
+            if (each.peer != instance_id() && is_ended(each))
+            {
+                each = {};
+                was_any = true;
+            }
+        }
+    }
+    return was_any;
+}
 
 } // namespace kumquatpath
 
--- a/include/kumquatpath/decision/target_evidence.hpp
+++ b/include/kumquatpath/decision/target_evidence.hpp
@@ -26,6 +26,11 @@
 /// A large fleet sends heartbeats more often, with fewer entries.
 inline constexpr std::size_t max_evidence_per_heartbeat_in_large_fleet = 2;
 
+/// One step of the level of evidence_kind::speed.
+inline constexpr double log_slowness_step = 0.02;
+/// The highest level of a speed, up or down: a factor of 10.
+inline constexpr int max_speed_level = 115;
+
 /// Why an entry of a peer is dropped.
 enum class evidence_drop : std::uint8_t
 {
@@ -91,9 +96,9 @@
                      evidence_counts& counts, time_point now);
 
 /// Removes the reports of \p peer.
-void forget_evidence_of(target_selector& selector, instance_id peer);
+void forget_evidence_of(target_selector& selector, instance_id peer, time_point now);
 
-/// Removes the reports of peers that are not live in \p fleet.
+/// Removes the reports that are too old to count or whose peers are not live in \p fleet.
 void forget_silent_evidence(target_selector& selector, const fleet_peers& fleet,
                             time_point now);
 
--- a/include/kumquatpath/model/fleet_message.hpp
+++ b/include/kumquatpath/model/fleet_message.hpp
@@ -51,7 +51,8 @@
     /// For evidence_kind::speed, the natural logarithm of the slowness in steps of 0.02;
     /// otherwise the number of openings or answers.
     std::int8_t level = 0;
-    /// Time since the newest event that the evidence rests on, in steps of 100 ms.
+    /// Time since the newest event that the evidence rests on, in steps of 100 ms, or of
+    /// 400 ms for evidence_kind::speed.
     std::chrono::milliseconds age{0};
 };
 
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -272,7 +272,7 @@
     target_selector& selector = self.steering.selector;
     if (result.is_new && selector.options.uses_peer_evidence)
     {
-        forget_evidence_of(selector, message.sender);
+        forget_evidence_of(selector, message.sender, now);
     }
     if (!result.is_stale)
     {
--- a/src/decision/peer_reports.cpp
+++ b/src/decision/peer_reports.cpp
@@ -43,16 +43,23 @@
         std::count_if(known.doubts.begin(), known.doubts.end(), counts));
 }
 
+duration max_age_of(evidence_kind kind)
+{
+    return kind == evidence_kind::speed ? max_speed_report_age : max_doubt_age;
+}
+
 speed_evidence reported_speed(const target_peer_reports& known, time_point now)
 {
     std::array<double, max_reports_per_target> values;
     values.fill(std::numeric_limits<double>::infinity());
     std::size_t count = 0;
+    time_point newest;
     for (const peer_report& each : known.speeds)
     {
         if (!is_free(each) && now < each.seen_at + max_speed_report_age)
         {
             values[count++] = each.log_slowness;
+            newest = std::max(newest, each.seen_at);
         }
     }
     if (count < min_speed_reports)
@@ -66,7 +73,7 @@
     const double nearer = std::abs(lower) < std::abs(upper) ? lower : upper;
     return {.log_slowness = is_usual_between ? 0 : nearer,
             .answers = answers_per_speed_report * static_cast<double>(count),
-            .updated_at = now};
+            .updated_at = newest};
 }
 
 void record_report(target_peer_reports& known, const peer_report& report)
@@ -94,14 +101,4 @@
     }
 }
 
-void forget_peer(target_peer_reports& known, instance_id peer)
-{
-    const auto forget = [&](peer_report& each)
-    {
-        each = each.peer == peer ? peer_report() : each;
-    };
-    std::for_each(known.doubts.begin(), known.doubts.end(), forget);
-    std::for_each(known.speeds.begin(), known.speeds.end(), forget);
-}
-
 } // namespace kumquatpath
--- a/src/edge/fleet_codec.cpp
+++ b/src/edge/fleet_codec.cpp
@@ -25,15 +25,20 @@
     return copy;
 }
 
-/// The age of evidence is encoded in steps of this, in evidence_age_bits bits.
-constexpr std::chrono::milliseconds evidence_age_step{100};
+/// The age of evidence is encoded in steps, in this number of bits.
 constexpr unsigned evidence_age_bits = 6;
 constexpr unsigned max_evidence_age = (1U << evidence_age_bits) - 1;
 
+/// Returns the step of the age. Speeds count for longer than other evidence.
+constexpr std::chrono::milliseconds evidence_age_step(evidence_kind kind)
+{
+    return std::chrono::milliseconds(kind == evidence_kind::speed ? 400 : 100);
+}
+
 wire::Evidence to_wire(const target_evidence& evidence)
 {
-    const auto steps =
-        std::clamp<std::int64_t>(evidence.age / evidence_age_step, 0, max_evidence_age);
+    const auto steps = std::clamp<std::int64_t>(
+        evidence.age / evidence_age_step(evidence.kind), 0, max_evidence_age);
     const unsigned kind = static_cast<unsigned>(evidence.kind) << evidence_age_bits;
     return {evidence.target.value, evidence.incarnation,
             static_cast<std::uint8_t>(kind | static_cast<unsigned>(steps)),
@@ -43,11 +48,12 @@
 target_evidence from_wire(const wire::Evidence& encoded)
 {
     const unsigned kind_and_age = encoded.kind_and_age();
+    const auto kind = static_cast<evidence_kind>(kind_and_age >> evidence_age_bits);
     return {.target = {encoded.target()},
             .incarnation = encoded.incarnation(),
-            .kind = static_cast<evidence_kind>(kind_and_age >> evidence_age_bits),
+            .kind = kind,
             .level = encoded.level(),
-            .age = (kind_and_age & max_evidence_age) * evidence_age_step};
+            .age = (kind_and_age & max_evidence_age) * evidence_age_step(kind)};
 }
 
 flatbuffers::Offset<wire::TargetChange> to_wire(builder& out, const target_change& change)
--- a/test/decision/target_evidence_report_test.cpp
+++ b/test/decision/target_evidence_report_test.cpp
@@ -174,3 +174,18 @@
         DOUBLES_EQUAL(reports / 2.0, count, 4 * std::sqrt(reports / 4.0));
     }
 }
+
+TEST(target_evidence_report, a_speed_is_reported_with_the_age_of_its_newest_answer)
+{
+    for (int round = 0; round < 30; ++round)
+    {
+        answer_request(self, 5, 60ms);
+    }
+    now += 3s;
+    LONGS_EQUAL(1, report_of(self).size());
+    LONGS_EQUAL(3000, report_of(self)[0].age.count());
+    now += max_speed_report_age - 3s - 1ms;
+    LONGS_EQUAL(1, report_of(self).size());
+    now += 1ms;
+    LONGS_EQUAL_TEXT(0, report_of(self).size(), "its peers would drop it");
+}
--- a/test/decision/target_evidence_test.cpp
+++ b/test/decision/target_evidence_test.cpp
@@ -8,6 +8,16 @@
 using namespace kumquatpath::test;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+std::chrono::milliseconds in_ms(duration time)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(time);
+}
+
+} // namespace
+
 TEST_GROUP_BASE(target_evidence, target_evidence_fixture){};
 
 TEST(target_evidence, nothing_is_sent_or_used_unless_it_is_switched_on)
@@ -225,3 +235,41 @@
     LONGS_EQUAL(6, self.evidence.accepted);
     LONGS_EQUAL(0, doubts(7));
 }
+
+TEST(target_evidence, a_speed_counts_up_to_its_own_limit_of_age)
+{
+    target_evidence slow = about(0, evidence_kind::speed, 60);
+    slow.age = in_ms(max_speed_report_age) - 1s;
+    hear(2, {slow});
+    hear(3, {slow});
+    CHECK_TRUE(speed(0) < 0.95);
+    LONGS_EQUAL(0, dropped(evidence_drop::too_old));
+    slow.age = in_ms(max_speed_report_age);
+    hear(4, {slow});
+    LONGS_EQUAL(1, dropped(evidence_drop::too_old));
+    now += 1s;
+    tick(self, now);
+    DOUBLES_EQUAL(1, speed(0), 0.001);
+}
+
+TEST(target_evidence, a_reported_speed_fades_with_the_age_of_the_answers)
+{
+    target_evidence slow = about(0, evidence_kind::speed, 60);
+    hear(2, {slow});
+    hear(3, {slow});
+    slow.target = about(1).target;
+    slow.age = 15s;
+    hear(2, {slow});
+    hear(3, {slow});
+    CHECK_TRUE(speed(0) + 0.1 < speed(1));
+    CHECK_TRUE(speed(1) < 0.99);
+}
+
+TEST(target_evidence, a_speed_that_a_peer_reported_before_its_restart_ends_at_once)
+{
+    hear(2, {about(0, evidence_kind::speed, 40)});
+    hear(3, {about(0, evidence_kind::speed, 40)});
+    CHECK_TRUE(speed(0) < 0.9);
+    hear(2, {}, north, 2);
+    DOUBLES_EQUAL_TEXT(1, speed(0), 0.001, "one report alone counts for nothing");
+}
--- a/test/edge/fleet_codec_test.cpp
+++ b/test/edge/fleet_codec_test.cpp
@@ -49,20 +49,24 @@
     UNSIGNED_LONGS_EQUAL(8, body.members.at(0).instance.value);
 }
 
-TEST(fleet_codec, evidence_about_targets_survives_with_its_age_in_steps)
+TEST(fleet_codec, evidence_about_targets_survives_with_its_age_in_steps_of_its_kind)
 {
     const fleet_heartbeat heartbeat{
-        .evidence = {{.target = {0xabcd},
-                      .incarnation = 0xfedc,
-                      .kind = evidence_kind::quick_answers,
-                      .level = 3,
-                      .age = std::chrono::milliseconds(1290)},
-                     {.kind = evidence_kind::speed,
-                      .level = -115,
-                      .age = std::chrono::milliseconds(90'000)}}};
+        .evidence = {
+            {.target = {0xabcd},
+             .incarnation = 0xfedc,
+             .kind = evidence_kind::quick_answers,
+             .level = 3,
+             .age = std::chrono::milliseconds(1290)},
+            {.kind = evidence_kind::speed,
+             .level = -115,
+             .age = std::chrono::milliseconds(90'000)},
+            {.kind = evidence_kind::speed, .age = std::chrono::milliseconds(19'900)},
+            {.kind = evidence_kind::unanswered,
+             .age = std::chrono::milliseconds(90'000)}}};
     const fleet_message decoded = encode_and_decode({.sender = {1}, .body = heartbeat});
     const auto& evidence = std::get<fleet_heartbeat>(decoded.body).evidence;
-    UNSIGNED_LONGS_EQUAL(2, evidence.size());
+    UNSIGNED_LONGS_EQUAL(4, evidence.size());
     UNSIGNED_LONGS_EQUAL(0xabcd, evidence[0].target.value);
     UNSIGNED_LONGS_EQUAL(0xfedc, evidence[0].incarnation);
     CHECK_TRUE(evidence[0].kind == evidence_kind::quick_answers);
@@ -70,7 +74,9 @@
     LONGS_EQUAL(1200, evidence[0].age.count());
     CHECK_TRUE(evidence[1].kind == evidence_kind::speed);
     LONGS_EQUAL(-115, evidence[1].level);
-    LONGS_EQUAL(6300, evidence[1].age.count());
+    LONGS_EQUAL(25'200, evidence[1].age.count());
+    LONGS_EQUAL(19'600, evidence[2].age.count());
+    LONGS_EQUAL(6300, evidence[3].age.count());
 }
 
 TEST(fleet_codec, evidence_costs_a_large_fleet_a_few_hundred_bytes_a_second)
