Names: own doubts and reports of peers told apart; target_stats split by job

Cause: is_doubtful, is_doubted, doubts_about, is_doubtful_itself and may_avoid_doubted were hard to keep apart, as each meant doubts of another origin; log_slowness, a logarithm, read like something logged; target_stats.hpp held plain measurements, the state of the selector, options and functions. Change: "doubt" in a name is what the instance has seen itself (has_doubtful_answers, doubt_about), "report" what peers say (reports_against, peers_reporting_doubt, may_avoid_reported); is_own_view_unreliable; has_overdue_openings for the second tries; ln_slowness and the like. target_stats.hpp has the measurements, target_selector_state.hpp the state and options, target_measurement.hpp the recording. The exponents of the weight have their reasons. No behaviour changes; the field "doubts" of flow_placed stays.

--- a/include/kumquatpath/decision/answer_counts.hpp
+++ b/include/kumquatpath/decision/answer_counts.hpp
@@ -41,7 +41,7 @@
 
 /// Returns whether the answers in \p counts are at \p now a reason to doubt that the
 /// target processes its requests, though they are too few to call it failing.
-bool is_doubtful(const answer_counts& counts, double mean_share, time_point now);
+bool has_doubtful_answers(const answer_counts& counts, double mean_share, time_point now);
 
 // Commands.
 
--- a/include/kumquatpath/decision/peer_reports.hpp
+++ b/include/kumquatpath/decision/peer_reports.hpp
@@ -34,7 +34,7 @@
     instance_id peer;
     evidence_kind kind = evidence_kind::unanswered;
     /// Only for evidence_kind::speed: natural logarithm of the slowness.
-    double log_slowness = 0;
+    double ln_slowness = 0;
     /// When the peer saw the newest event that its report rests on.
     time_point seen_at;
 };
@@ -64,8 +64,8 @@
 
 /// Returns how many peers doubt the target. An unanswered opening is refuted by an own
 /// opening that was sent later and answered, quick answers by a later real answer.
-std::uint32_t doubting_peers(const target_peer_reports& known,
-                             const own_success_times& own, time_point now);
+std::uint32_t peers_reporting_doubt(const target_peer_reports& known,
+                                    const own_success_times& own, time_point now);
 
 /// Returns the longest age at which evidence of \p kind counts.
 duration max_age_of(evidence_kind kind);
--- a/include/kumquatpath/decision/second_tries.hpp
+++ b/include/kumquatpath/decision/second_tries.hpp
@@ -119,9 +119,9 @@
 
 /// Returns how long an opening to a target of \p data_centre may stay unanswered before
 /// its second try is due: a high quantile of the measured times, a lower one for a target
-/// that \p is_doubted, or \p fallback if too few times were measured.
+/// that \p has_overdue_openings, or \p fallback if too few times were measured.
 duration second_try_delay(const second_tries& tries, data_centre_id data_centre,
-                          bool is_doubted, duration fallback);
+                          bool has_overdue_openings, duration fallback);
 
 /// Returns when take_due() next has something to do; unset: nothing is pending.
 std::optional<time_point> next_due(const second_tries& tries);
--- a/include/kumquatpath/decision/target_cost.hpp
+++ b/include/kumquatpath/decision/target_cost.hpp
@@ -5,7 +5,7 @@
 /// What it costs to place a flow on a target, by the target's load, speed and place, and
 /// how many flows a target may hold.
 
-#include <kumquatpath/decision/target_stats.hpp>
+#include <kumquatpath/decision/target_selector_state.hpp>
 
 namespace kumquatpath
 {
--- a/include/kumquatpath/decision/target_evidence.hpp
+++ b/include/kumquatpath/decision/target_evidence.hpp
@@ -27,7 +27,7 @@
 inline constexpr std::size_t max_evidence_per_heartbeat_in_large_fleet = 2;
 
 /// One step of the level of evidence_kind::speed.
-inline constexpr double log_slowness_step = 0.02;
+inline constexpr double ln_slowness_step = 0.02;
 /// The highest level of a speed, up or down: a factor of 10.
 inline constexpr int max_speed_level = 115;
 
--- a/include/kumquatpath/decision/target_health.hpp
+++ b/include/kumquatpath/decision/target_health.hpp
@@ -4,7 +4,7 @@
 /// \file
 /// What the measurements say about the health of a target or a data centre.
 
-#include <kumquatpath/decision/target_stats.hpp>
+#include <kumquatpath/decision/target_selector_state.hpp>
 
 namespace kumquatpath
 {
@@ -24,9 +24,9 @@
 /// is that of its service.
 bool is_unproven(const target_stats& stats, double mean_quick_share, time_point now);
 
-/// Returns how much reason peers and an own overdue opening give to doubt the target of
-/// \p stats: one for each peer, and one for the opening if a peer doubts as well.
-std::uint32_t doubts_about(const target_stats& stats, time_point now);
+/// Returns how many peers report a doubt about the target of \p stats, plus one if at
+/// least one does and the target has an overdue opening here as well.
+std::uint32_t reports_against(const target_stats& stats, time_point now);
 
 } // namespace kumquatpath
 
--- a/include/kumquatpath/decision/target_review.hpp
+++ b/include/kumquatpath/decision/target_review.hpp
@@ -8,7 +8,7 @@
 /// takes time in proportion to the targets, it comes the less often the more there are;
 /// see review_interval(). Suspect targets are not waited for: see is_suspect().
 
-#include <kumquatpath/decision/target_stats.hpp>
+#include <kumquatpath/decision/target_selector_state.hpp>
 
 namespace kumquatpath
 {
--- a/include/kumquatpath/decision/target_selector.hpp
+++ b/include/kumquatpath/decision/target_selector.hpp
@@ -15,6 +15,7 @@
 /// service has had none for a while.
 
 #include <kumquatpath/decision/target_health.hpp>
+#include <kumquatpath/decision/target_measurement.hpp>
 
 namespace kumquatpath
 {
--- a/include/kumquatpath/decision/target_speed.hpp
+++ b/include/kumquatpath/decision/target_speed.hpp
@@ -29,7 +29,7 @@
 struct speed_evidence
 {
     /// Mean natural logarithm of the answers' times in multiples of the usual time.
-    double log_slowness = 0;
+    double ln_slowness = 0;
     /// The weight of the mean, as a number of answers; it decays with age.
     double answers = 0;
     time_point updated_at;
@@ -48,7 +48,7 @@
 struct usual_answer_time
 {
     /// Mean natural logarithm of the times in milliseconds, with an offset.
-    double log_time = 0;
+    double ln_time = 0;
     /// The weight of the mean, as a number of answers.
     double answers = 0;
 };
--- a/include/kumquatpath/decision/target_stats.hpp
+++ b/include/kumquatpath/decision/target_stats.hpp
@@ -2,29 +2,20 @@
 #define KUMQUATPATH_DECISION_TARGET_STATS_HPP
 
 /// \file
-/// What one instance measures about targets, their services and their data centres.
-///
-/// An instance sees only the packets of callers, which is enough to measure a target. An
-/// opening that the target answers is followed by the caller's next packet within a round
-/// trip, and an answered request by another packet of the caller. Unanswered requests
-/// count as the load of a target.
+/// What one instance has measured of targets, their services and their data centres, as
+/// plain data.
 
 #include <kumquatpath/decision/answer_counts.hpp>
 #include <kumquatpath/decision/concurrency_limit.hpp>
 #include <kumquatpath/decision/peer_reports.hpp>
-#include <kumquatpath/decision/target_directory.hpp>
 #include <kumquatpath/decision/target_speed.hpp>
-#include <kumquatpath/decision/warm_up_allowance.hpp>
+#include <kumquatpath/model/target_record.hpp>
 
 #include <optional>
-#include <vector>
 
 namespace kumquatpath
 {
 
-/// No opening may stay unanswered for longer before it is overdue.
-inline constexpr duration max_opening_timeout = std::chrono::milliseconds(180);
-
 /// What follows from the measurements of one target and is kept until they change or are
 /// reviewed.
 struct target_estimate
@@ -94,9 +85,9 @@
     /// So few targets are unproven that requests that may not be repeated can do without
     /// them.
     bool may_avoid_unproven = false;
-    /// So few targets are doubted by peers that requests that may not be repeated can do
-    /// without them.
-    bool may_avoid_doubted = false;
+    /// Peers report doubts about so few targets that requests that may not be repeated
+    /// can do without them.
+    bool may_avoid_reported = false;
     /// The number of targets with target_stats::is_avoided_by_peer_reports.
     std::uint32_t targets_avoided_by_peer_reports = 0;
     /// The number of targets that have answered requests.
@@ -122,82 +113,6 @@
     duration trial_interval{0};
 };
 
-/// What this instance may report about targets to its peers.
-struct reportable_evidence
-{
-    /// Targets that had an overdue opening or a quick answer since the last review, and
-    /// those of \c doubts.
-    std::vector<target_index> doubted;
-    /// One for each doubted target, as of the last review.
-    std::vector<target_evidence> doubts;
-    /// Targets whose speed is known, as of measured_at.
-    std::vector<target_index> measured;
-    /// The number of targets that take new flows, as of measured_at.
-    std::size_t usable_targets = 0;
-    time_point measured_at;
-};
-
-/// How targets are selected.
-struct selection_options
-{
-    /// New flows go to the targets in proportion to their estimated speeds, and the
-    /// number of flows that a target may hold follows its speed. Otherwise they go to the
-    /// target with the least expected wait.
-    bool uses_speeds = false;
-    /// Evidence about targets is reported to local peers, and theirs is used.
-    bool uses_peer_evidence = false;
-};
-
-/// The state of target selection of one instance.
-struct target_selector
-{
-    /// By the targets' index in the directory.
-    std::vector<target_stats> stats;
-    selection_options options;
-    /// Smoothed time from an opening to the caller's next packet; 0: none measured.
-    double opening_ms = 0;
-    /// The data centre of this instance.
-    data_centre_id local_data_centre;
-    boost::unordered_flat_map<data_centre_id, data_centre_stats,
-                              std::hash<data_centre_id>>
-        data_centres;
-    boost::unordered_flat_map<service_id, service_stats, std::hash<service_id>> services;
-    /// Number of instances that serve, including this one.
-    std::uint32_t instances = 1;
-    /// Number of flows that may not be repeated and were placed on a target that is not
-    /// sound.
-    std::uint64_t flows_placed_at_risk = 0;
-    warm_up_allowance warm_up;
-    reportable_evidence reportable;
-};
-
-// Queries.
-
-/// Returns how long an opening may stay unanswered before it is overdue.
-duration opening_timeout(const target_selector& selector);
-
-// Commands.
-
-/// Returns the measurements of the target at \p index. They are reset if the index now
-/// belongs to another target; a new incarnation of the target resets its health and
-/// speed.
-target_stats& stats_of(target_selector& selector, const target_directory& directory,
-                       target_index index);
-
-/// Records that the target at \p index has answered an opening that was sent at \p sent.
-void record_opening_answered(target_selector& selector, const target_directory& directory,
-                             target_index index, time_point sent, time_point now);
-
-/// Records that an opening sent to the target at \p index at \p sent is overdue.
-void record_opening_overdue(target_selector& selector, const target_directory& directory,
-                            target_index index, time_point sent);
-
-/// Records that the target at \p index took \p time for a request with the latency goal
-/// \p goal.
-void record_request_answered(target_selector& selector, const target_directory& directory,
-                             target_index index, duration time, duration goal,
-                             time_point now);
-
 } // namespace kumquatpath
 
 #endif
--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -59,7 +59,7 @@
     {
         fields["avoided_by_peer_reports"] = found->second.targets_avoided_by_peer_reports;
     }
-    const std::uint32_t doubts = doubts_about(stats, now);
+    const std::uint32_t doubts = reports_against(stats, now);
     if (doubts > 0)
     {
         fields["doubts"] = doubts;
--- a/src/decision/answer_counts.cpp
+++ b/src/decision/answer_counts.cpp
@@ -54,7 +54,7 @@
     return counts.quick >= min_quick_answers && has_high_share(counts, mean_share);
 }
 
-bool is_doubtful(const answer_counts& counts, double mean_share, time_point now)
+bool has_doubtful_answers(const answer_counts& counts, double mean_share, time_point now)
 {
     // Counts only decay, and most targets have no quick answers.
     return counts.quick >= min_doubtful_answers && has_high_share(counts, mean_share) &&
--- a/src/decision/peer_reports.cpp
+++ b/src/decision/peer_reports.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-std::uint32_t doubting_peers(const target_peer_reports& known,
-                             const own_success_times& own, time_point now)
+std::uint32_t peers_reporting_doubt(const target_peer_reports& known,
+                                    const own_success_times& own, time_point now)
 {
     if (now >= known.doubts_until)
     {
@@ -58,7 +58,7 @@
     {
         if (!is_free(each) && now < each.seen_at + max_speed_report_age)
         {
-            values[count++] = each.log_slowness;
+            values[count++] = each.ln_slowness;
             newest = std::max(newest, each.seen_at);
         }
     }
@@ -71,7 +71,7 @@
     const double lower = values[(count - 1) / 2];
     const bool is_usual_between = lower < 0 && upper > 0;
     const double nearer = std::abs(lower) < std::abs(upper) ? lower : upper;
-    return {.log_slowness = is_usual_between ? 0 : nearer,
+    return {.ln_slowness = is_usual_between ? 0 : nearer,
             .answers = answers_per_speed_report * static_cast<double>(count),
             .updated_at = newest};
 }
--- a/src/decision/second_tries.cpp
+++ b/src/decision/second_tries.cpp
@@ -9,9 +9,9 @@
 {
 
 /// The quantiles of the measured times at which a second try is due: rarely for a target
-/// without a sign of trouble, sooner for a doubted one.
+/// without a sign of trouble, sooner for one with overdue openings.
 constexpr double usual_quantile = 0.99;
-constexpr double doubted_quantile = 0.95;
+constexpr double overdue_quantile = 0.95;
 /// How often a target is selected for one second try until a suitable one is found.
 constexpr int max_selections = 4;
 /// No second try is sent sooner: a target's scheduling alone may take that long.
@@ -62,8 +62,8 @@
     return &entry;
 }
 
-bool is_doubted(const flow_steering& steering, const target_directory& directory,
-                target_index target)
+bool has_overdue_openings(const flow_steering& steering,
+                          const target_directory& directory, target_index target)
 {
     return steering.selector.stats[target].overdue_openings > 0 ||
            is_data_centre_suspect(steering.selector,
@@ -106,8 +106,8 @@
     const known_target& target = directory.targets[index];
     const target_stats& stats = steering.selector.stats[index];
     return takes_new_flows(target, now) && !is_warming_up(target, nullptr, now) &&
-           !is_doubted(steering, directory, index) && !stats.is_failing &&
-           doubts_about(stats, now) == 0;
+           !has_overdue_openings(steering, directory, index) && !stats.is_failing &&
+           reports_against(stats, now) == 0;
 }
 
 /// A target, or the reason why there is none.
@@ -252,13 +252,14 @@
 } // namespace
 
 duration second_try_delay(const second_tries& tries, data_centre_id data_centre,
-                          bool is_doubted, duration fallback)
+                          bool has_overdue_openings, duration fallback)
 {
     const auto found = tries.times.find(data_centre);
     const std::optional<duration> measured =
         found == tries.times.end()
             ? std::nullopt
-            : quantile_of(found->second, is_doubted ? doubted_quantile : usual_quantile);
+            : quantile_of(found->second,
+                          has_overdue_openings ? overdue_quantile : usual_quantile);
     return std::clamp(measured.value_or(fallback), min_delay, max_opening_timeout);
 }
 
@@ -309,9 +310,9 @@
         return;
     }
     const data_centre_id data_centre = directory.targets[target].record.data_centre;
-    const duration delay =
-        second_try_delay(tries, data_centre, is_doubted(steering, directory, target),
-                         opening_timeout(steering.selector));
+    const duration delay = second_try_delay(
+        tries, data_centre, has_overdue_openings(steering, directory, target),
+        opening_timeout(steering.selector));
     tries.pending.emplace(
         flow, pending_second_try{.packet = packet,
                                  .datagram = {datagram.begin(), datagram.end()},
--- a/src/decision/target_cost.cpp
+++ b/src/decision/target_cost.cpp
@@ -19,6 +19,7 @@
 constexpr double max_slowness = 6;
 /// Added to the exponent of a target's speed in its weight while all slots are free; in
 /// proportion to the free share otherwise.
+/// High, as slow targets miss the goal of requests that take long.
 constexpr double idle_speed_exponent = 5;
 /// The weight limit of a fast target, as a multiple of a usual target's weight.
 constexpr double max_speed_weight = 4;
@@ -44,6 +45,7 @@
 
 /// Returns \p value to the power of 4: how steeply the weight of a target falls with the
 /// flows that this instance has there.
+/// Steep, as each of many instances sees only its own few flows.
 double fourth_power(double value)
 {
     const double square = value * value;
--- a/src/decision/target_evidence.cpp
+++ b/src/decision/target_evidence.cpp
@@ -138,7 +138,7 @@
             stats_of(selector, directory, *find_by_token(directory, each.target));
         record_report(stats.peer_reports, {.peer = peer.instance,
                                            .kind = each.kind,
-                                           .log_slowness = each.level * log_slowness_step,
+                                           .ln_slowness = each.level * ln_slowness_step,
                                            .seen_at = now - each.age});
         review_reported_speed(stats, now);
     }
--- a/src/decision/target_evidence_report.cpp
+++ b/src/decision/target_evidence_report.cpp
@@ -61,7 +61,7 @@
     const double mean_share =
         service == selector.services.end() ? 0 : service->second.quick_share;
     if (is_recent(stats.quick_answer_at, now) &&
-        is_doubtful(stats.answers, mean_share, now))
+        has_doubtful_answers(stats.answers, mean_share, now))
     {
         const double quick = decayed(stats.answers, now).quick;
         target_evidence doubt =
@@ -83,7 +83,7 @@
 target_evidence measured_speed(const known_target& target, const speed_evidence& own,
                                time_point now)
 {
-    const double level = std::round(own.log_slowness / log_slowness_step);
+    const double level = std::round(own.ln_slowness / ln_slowness_step);
     target_evidence speed =
         make_evidence(target, evidence_kind::speed,
                       std::clamp<double>(level, -max_speed_level, max_speed_level));
@@ -208,13 +208,13 @@
         return {};
     }
     const reportable_evidence& reportable = selector.reportable;
-    const bool is_doubtful_itself =
+    const bool is_own_view_unreliable =
         is_rehashing(steering, now) ||
         is_data_centre_suspect(selector, selector.local_data_centre) ||
         static_cast<double>(reportable.doubts.size()) >
             max_reported_share * static_cast<double>(reportable.usable_targets);
     std::vector<target_evidence> result;
-    if (!is_doubtful_itself)
+    if (!is_own_view_unreliable)
     {
         result = select_doubts(reportable.doubts, request);
     }
--- a/src/decision/target_health.cpp
+++ b/src/decision/target_health.cpp
@@ -39,16 +39,16 @@
 {
     return !stats.known_since || now < *stats.known_since + proving_time ||
            stats.overdue_openings > 0 ||
-           is_doubtful(stats.answers, mean_quick_share, now);
+           has_doubtful_answers(stats.answers, mean_quick_share, now);
 }
 
-std::uint32_t doubts_about(const target_stats& stats, time_point now)
+std::uint32_t reports_against(const target_stats& stats, time_point now)
 {
     const std::uint32_t peers =
-        doubting_peers(stats.peer_reports,
-                       {.opening_answered = stats.answered_opening_sent_at,
-                        .real_answer = stats.real_answer_at},
-                       now);
+        peers_reporting_doubt(stats.peer_reports,
+                              {.opening_answered = stats.answered_opening_sent_at,
+                               .real_answer = stats.real_answer_at},
+                              now);
     return peers == 0 ? 0 : peers + (stats.overdue_openings > 0 ? 1U : 0U);
 }
 
--- a/src/decision/target_review.cpp
+++ b/src/decision/target_review.cpp
@@ -1,5 +1,6 @@
 #include <kumquatpath/decision/review_interval.hpp>
 #include <kumquatpath/decision/target_health.hpp>
+#include <kumquatpath/decision/target_measurement.hpp>
 #include <kumquatpath/decision/target_review.hpp>
 
 namespace kumquatpath
@@ -21,10 +22,10 @@
 /// holds apart for those that all flows avoid and for those that only requests that may
 /// not be repeated do, so that one peer that doubts all targets changes nothing for the
 /// others.
-constexpr double max_doubted_share = 1.0 / 3;
+constexpr double max_share_avoided_by_reports = 1.0 / 3;
 /// From this number of doubts all new flows avoid a target; one is enough for requests
 /// that may not be repeated.
-constexpr std::uint32_t doubts_heeded_by_all = 2;
+constexpr std::uint32_t reports_heeded_by_all = 2;
 
 /// Sets the means of \p service.
 void measure_service(const target_selector& selector, service_stats& service,
@@ -54,8 +55,8 @@
     double usable = 0;
     double failing = 0;
     double unproven = 0;
-    /// At least one peer doubts them.
-    double doubted = 0;
+    /// At least one peer reports a doubt about them.
+    double reported = 0;
     std::uint32_t avoided_by_peer_reports = 0;
 };
 
@@ -63,7 +64,7 @@
 void judge_target(review_counts& counts, target_stats& stats,
                   const service_stats& service, bool is_usable, time_point now)
 {
-    stats.is_failing = is_doubtful(stats.answers, service.quick_share, now) &&
+    stats.is_failing = has_doubtful_answers(stats.answers, service.quick_share, now) &&
                        is_failing(decayed(stats.answers, now), service.quick_share);
     counts.failing += stats.is_failing ? 1 : 0;
     stats.is_avoided_by_peer_reports = false;
@@ -73,9 +74,9 @@
     }
     counts.usable += 1;
     counts.unproven += is_unproven(stats, service.quick_share, now) ? 1 : 0;
-    const std::uint32_t doubts = doubts_about(stats, now);
-    stats.is_avoided_by_peer_reports = doubts >= doubts_heeded_by_all;
-    counts.doubted += doubts > 0 ? 1 : 0;
+    const std::uint32_t reports = reports_against(stats, now);
+    stats.is_avoided_by_peer_reports = reports >= reports_heeded_by_all;
+    counts.reported += reports > 0 ? 1 : 0;
     counts.avoided_by_peer_reports += stats.is_avoided_by_peer_reports ? 1U : 0U;
 }
 
@@ -85,11 +86,12 @@
                   std::span<const target_index> candidates, const review_counts& counts)
 {
     service.may_avoid_unproven = counts.unproven <= max_unproven_share * counts.usable;
-    service.may_avoid_doubted = counts.doubted <= max_doubted_share * counts.usable;
+    service.may_avoid_reported =
+        counts.reported <= max_share_avoided_by_reports * counts.usable;
     const bool may_avoid_failing =
         counts.failing <= max_failing_share * service.answering_targets;
     const bool may_avoid_by_reports =
-        counts.avoided_by_peer_reports <= max_doubted_share * counts.usable;
+        counts.avoided_by_peer_reports <= max_share_avoided_by_reports * counts.usable;
     service.targets_avoided_by_peer_reports =
         may_avoid_by_reports ? counts.avoided_by_peer_reports : 0;
     if (may_avoid_failing && may_avoid_by_reports)
--- a/src/decision/target_selector.cpp
+++ b/src/decision/target_selector.cpp
@@ -107,10 +107,10 @@
     }
     const bool is_at_risk = !request.is_repeatable && service.may_avoid_unproven &&
                             is_unproven(*each.stats, service.quick_share, now);
-    const bool is_doubted = each.stats->is_avoided_by_peer_reports ||
-                            (!request.is_repeatable && service.may_avoid_doubted &&
-                             doubts_about(*each.stats, now) > 0);
-    return base + (is_at_risk || is_doubted ? unsound_rank : 0);
+    const bool is_reported = each.stats->is_avoided_by_peer_reports ||
+                             (!request.is_repeatable && service.may_avoid_reported &&
+                              reports_against(*each.stats, now) > 0);
+    return base + (is_at_risk || is_reported ? unsound_rank : 0);
 }
 
 candidate assess(target_selector& selector, const target_directory& directory,
--- a/src/decision/target_speed.cpp
+++ b/src/decision/target_speed.cpp
@@ -19,21 +19,21 @@
 constexpr double prior_answers = 2;
 /// The largest difference between the logarithms of an answer's time and of the expected
 /// time that counts; a factor of about 3.
-constexpr double max_log_deviation = 1.1;
+constexpr double max_ln_deviation = 1.1;
 /// Added to each time, so that differences in the network don't count as speed where
 /// answers take no longer than the network.
 constexpr duration time_offset = std::chrono::milliseconds(5);
 
-double log_of(duration time)
+double ln_of(duration time)
 {
     return std::log(milliseconds_of(std::max(time, duration(0)) + time_offset));
 }
 
 /// Returns \p value, or the nearest value that differs from \p expected by no more than
-/// max_log_deviation.
+/// max_ln_deviation.
 double without_outlier(double value, double expected)
 {
-    return std::clamp(value, expected - max_log_deviation, expected + max_log_deviation);
+    return std::clamp(value, expected - max_ln_deviation, expected + max_ln_deviation);
 }
 
 } // namespace
@@ -46,7 +46,7 @@
     }
     const double age = milliseconds_of(std::max(now - evidence.updated_at, duration(0)));
     const double factor = std::exp(-age / milliseconds_of(evidence_decay_time));
-    return {.log_slowness = evidence.log_slowness,
+    return {.ln_slowness = evidence.ln_slowness,
             .answers = evidence.answers * factor,
             .updated_at = now};
 }
@@ -57,18 +57,18 @@
     const speed_evidence reported = decayed(speed.reported, now);
     const double reported_answers = std::min(reported.answers, max_reported_answers);
     const double total =
-        own.answers * own.log_slowness + reported_answers * reported.log_slowness;
-    const double log_slowness = total / (own.answers + reported_answers + prior_answers);
-    return std::clamp(std::exp(-log_slowness), min_target_speed, max_target_speed);
+        own.answers * own.ln_slowness + reported_answers * reported.ln_slowness;
+    const double ln_slowness = total / (own.answers + reported_answers + prior_answers);
+    return std::clamp(std::exp(-ln_slowness), min_target_speed, max_target_speed);
 }
 
 void record_answer_time(target_speed& speed, usual_answer_time& usual, duration time,
                         time_point now)
 {
-    const double sample = log_of(time);
-    const double expected = usual.answers == 0 ? sample : usual.log_time;
+    const double sample = ln_of(time);
+    const double expected = usual.answers == 0 ? sample : usual.ln_time;
     usual.answers = std::min(usual.answers + 1, max_usual_answers);
-    usual.log_time =
+    usual.ln_time =
         expected + (without_outlier(sample, expected) - expected) / usual.answers;
     if (usual.answers < min_usual_answers)
     {
@@ -77,8 +77,8 @@
     speed_evidence& own = speed.own;
     own = decayed(own, now);
     own.answers = std::min(own.answers, max_own_answers - 1) + 1;
-    const double slowness = without_outlier(sample - usual.log_time, own.log_slowness);
-    own.log_slowness += (slowness - own.log_slowness) / own.answers;
+    const double slowness = without_outlier(sample - usual.ln_time, own.ln_slowness);
+    own.ln_slowness += (slowness - own.ln_slowness) / own.answers;
 }
 
 } // namespace kumquatpath
--- a/test/decision/target_choice_test.cpp
+++ b/test/decision/target_choice_test.cpp
@@ -39,7 +39,7 @@
             target_stats& stats = stats_of(selector, directory, index);
             stats.in_flight = loads[index];
             // So many answers that the assumption of the usual speed is lost among them.
-            stats.speed.own = {.log_slowness = -std::log(speeds[index]),
+            stats.speed.own = {.ln_slowness = -std::log(speeds[index]),
                                .answers = 1e9,
                                .updated_at = now};
         }
@@ -100,7 +100,7 @@
 {
     target_stats& stats = stats_of(selector, directory, 2);
     stats.speed.own.answers = 8;
-    selector.services[web].usual_time = {.log_time = std::log(60), .answers = 64};
+    selector.services[web].usual_time = {.ln_time = std::log(60), .answers = 64};
     for (int i = 0; i < 8; ++i)
     {
         record_request_answered(selector, directory, 2, 600ms, 0ms, now);
--- a/test/decision/target_evidence_fixture.hpp
+++ b/test/decision/target_evidence_fixture.hpp
@@ -117,7 +117,8 @@
 
     std::uint32_t doubts(target_index index)
     {
-        return doubts_about(stats_of(self.steering.selector, self.directory, index), now);
+        return reports_against(stats_of(self.steering.selector, self.directory, index),
+                               now);
     }
 
     double speed(target_index index)
--- a/test/decision/target_speed_test.cpp
+++ b/test/decision/target_speed_test.cpp
@@ -258,7 +258,7 @@
     for (const duration time : {1h, 0h})
     {
         target_speed speed;
-        usual_answer_time usual{.log_time = std::log(47), .answers = 64};
+        usual_answer_time usual{.ln_time = std::log(47), .answers = 64};
         for (int i = 0; i < 100; ++i)
         {
             record_answer_time(speed, usual, time, now);
@@ -271,7 +271,7 @@
 TEST(target_speed, evidence_fades_so_that_an_avoided_target_is_tried_again)
 {
     target_speed speed{
-        .own = {.log_slowness = std::log(8), .answers = 12, .updated_at = now}};
+        .own = {.ln_slowness = std::log(8), .answers = 12, .updated_at = now}};
     CHECK_TRUE(speed_of(speed, now) < 0.25);
     CHECK_TRUE(speed_of(speed, now + 2min) > 0.9);
 }
@@ -279,9 +279,9 @@
 TEST(target_speed, what_peers_report_helps_a_new_instance_but_does_not_outweigh_its_own)
 {
     const speed_evidence slow{
-        .log_slowness = std::log(4), .answers = 1000, .updated_at = now};
+        .ln_slowness = std::log(4), .answers = 1000, .updated_at = now};
     const speed_evidence fast{
-        .log_slowness = std::log(0.7), .answers = 12, .updated_at = now};
+        .ln_slowness = std::log(0.7), .answers = 12, .updated_at = now};
     CHECK_TRUE(speed_of({.reported = slow}, now) < 0.6);
     CHECK_TRUE(speed_of({.reported = slow}, now) > 1.0 / 4);
     CHECK_TRUE(speed_of({.own = fast, .reported = slow}, now) >
@@ -293,14 +293,13 @@
 {
     target_directory one;
     apply_change(one, announcement(1, 1), now);
-    for (const auto& [log_slowness, most] :
+    for (const auto& [ln_slowness, most] :
          {std::pair(std::log(4), 1U), std::pair(0.0, 4U), std::pair(std::log(0.5), 8U)})
     {
         target_selector selector{.local_data_centre = north};
         selector.options.uses_speeds = true;
         target_stats& stats = stats_of(selector, one, 0);
-        stats.speed.own = {
-            .log_slowness = log_slowness, .answers = 1e6, .updated_at = now};
+        stats.speed.own = {.ln_slowness = ln_slowness, .answers = 1e6, .updated_at = now};
         std::uint32_t flows = 0;
         while (flows < 20 &&
                select_target(selector, one, {.service = web, .may_wait = true}, now))
@@ -337,7 +336,7 @@
 {
     target_selector& selector = instances[0];
     stats_of(selector, directory, 0).speed.own = {
-        .log_slowness = 1, .answers = 12, .updated_at = now};
+        .ln_slowness = 1, .answers = 12, .updated_at = now};
     target_change restarted = announcement(1, 100);
     restarted.record->incarnation = 2;
     apply_change(directory, restarted, now);
@@ -351,7 +350,7 @@
     apply_change(directory, warming, now);
     target_selector& selector = instances[0];
     stats_of(selector, directory, 0);
-    selector.services[web].usual_time = {.log_time = std::log(47), .answers = 64};
+    selector.services[web].usual_time = {.ln_time = std::log(47), .answers = 64};
     record_request_answered(selector, directory, 0, 500ms, 0ms, now + 1s);
     DOUBLES_EQUAL(1, speed_of(selector.stats[0].speed, now), 0.001);
     record_request_answered(selector, directory, 0, 500ms, 0ms, now + 3s);
@@ -361,7 +360,7 @@
 TEST(target_speed, the_first_answer_fades_from_its_own_time_on)
 {
     target_speed speed;
-    usual_answer_time usual{.log_time = std::log(47), .answers = 64};
+    usual_answer_time usual{.ln_time = std::log(47), .answers = 64};
     record_answer_time(speed, usual, 200ms, now);
     CHECK_TRUE(speed.own.updated_at == now);
     DOUBLES_EQUAL(1, decayed(speed.own, now).answers, 1e-9);
