--- a/include/kumquatpath/decision/target_evidence.hpp
+++ b/include/kumquatpath/decision/target_evidence.hpp
@@ -9,7 +9,7 @@
 /// no unanswered openings of a data centre that looks suspect to it, and no doubts while
 /// the fabric rehashes flows or while it doubts many targets: the cause is then more
 /// likely near the instance than in the targets. What reports lead to is decided with the
-/// other measurements; see update_service_stats().
+/// other measurements; see review_service().
 
 #include <kumquatpath/decision/fleet_peers.hpp>
 #include <kumquatpath/decision/flow_steering.hpp>
@@ -26,6 +26,11 @@
 /// A large fleet sends heartbeats more often, with fewer entries.
 inline constexpr std::size_t max_evidence_per_heartbeat_in_large_fleet = 2;
 
+/// One step of the level of evidence_kind::speed.
+inline constexpr double ln_slowness_step = 0.02;
+/// The highest level of a speed, up or down: a factor of 10.
+inline constexpr int max_speed_level = 115;
+
 /// Why an entry of a peer is dropped.
 enum class evidence_drop : std::uint8_t
 {
@@ -67,8 +72,8 @@
 /// Returns a hash of \p incarnation that tells it from the next one.
 std::uint16_t incarnation_check(std::uint64_t incarnation);
 
-/// Returns the evidence of this instance to report: the newest doubt, then other doubts,
-/// then speeds.
+/// Returns the evidence of this instance to report, as of the last
+/// review_evidence_to_report(): the newest doubt, then other doubts, then speeds.
 std::vector<target_evidence> evidence_to_report(const flow_steering& steering,
                                                 const target_directory& directory,
                                                 const evidence_request& request,
@@ -79,15 +84,21 @@
 
 // Commands.
 
+/// Looks for evidence to report; to be called before each evidence_to_report(). Doubts
+/// are found at once; all targets are looked through for known speeds only at intervals,
+/// see review_interval().
+void review_evidence_to_report(target_selector& selector,
+                               const target_directory& directory, time_point now);
+
 /// Records \p evidence, which a heartbeat of \p peer carried, and counts it.
 void record_evidence(target_selector& selector, const target_directory& directory,
                      const fleet_peer& peer, std::span<const target_evidence> evidence,
                      evidence_counts& counts, time_point now);
 
 /// Removes the reports of \p peer.
-void forget_evidence_of(target_selector& selector, instance_id peer);
+void forget_evidence_of(target_selector& selector, instance_id peer, time_point now);
 
-/// Removes the reports of peers that are not live in \p fleet.
+/// Removes the reports that are too old to count or whose peers are not live in \p fleet.
 void forget_silent_evidence(target_selector& selector, const fleet_peers& fleet,
                             time_point now);
 
--- a/src/decision/peer_reports.cpp
+++ b/src/decision/peer_reports.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
-#include <vector>
+#include <limits>
 
 namespace kumquatpath
 {
@@ -27,9 +27,13 @@
 
 } // namespace
 
-std::uint32_t doubting_peers(const target_peer_reports& known,
-                             const own_success_times& own, time_point now)
+std::uint32_t peers_reporting_doubt(const target_peer_reports& known,
+                                    const own_success_times& own, time_point now)
 {
+    if (now >= known.doubts_until)
+    {
+        return 0;
+    }
     const auto counts = [&](const peer_report& each)
     {
         return !is_free(each) && now < each.seen_at + max_doubt_age &&
@@ -39,28 +43,37 @@
         std::count_if(known.doubts.begin(), known.doubts.end(), counts));
 }
 
+duration max_age_of(evidence_kind kind)
+{
+    return kind == evidence_kind::speed ? max_speed_report_age : max_doubt_age;
+}
+
 speed_evidence reported_speed(const target_peer_reports& known, time_point now)
 {
-    std::vector<double> values;
+    std::array<double, max_reports_per_target> values;
+    values.fill(std::numeric_limits<double>::infinity());
+    std::size_t count = 0;
+    time_point newest;
     for (const peer_report& each : known.speeds)
     {
         if (!is_free(each) && now < each.seen_at + max_speed_report_age)
         {
-            values.push_back(each.log_slowness);
+            values[count++] = each.ln_slowness;
+            newest = std::max(newest, each.seen_at);
         }
     }
-    if (values.size() < min_speed_reports)
+    if (count < min_speed_reports)
     {
         return {};
     }
     std::sort(values.begin(), values.end());
-    const double upper = values[values.size() / 2];
-    const double lower = values[(values.size() - 1) / 2];
+    const double upper = values[count / 2];
+    const double lower = values[(count - 1) / 2];
     const bool is_usual_between = lower < 0 && upper > 0;
     const double nearer = std::abs(lower) < std::abs(upper) ? lower : upper;
-    return {.log_slowness = is_usual_between ? 0 : nearer,
-            .answers = answers_per_speed_report * static_cast<double>(values.size()),
-            .updated_at = now};
+    return {.ln_slowness = is_usual_between ? 0 : nearer,
+            .answers = answers_per_speed_report * static_cast<double>(count),
+            .updated_at = newest};
 }
 
 void record_report(target_peer_reports& known, const peer_report& report)
@@ -77,20 +90,15 @@
                                  [](const peer_report& left, const peer_report& right)
                                  { return left.seen_at < right.seen_at; });
     }
-    if (report.seen_at >= place->seen_at)
+    if (report.seen_at < place->seen_at)
     {
-        *place = report;
+        return;
     }
-}
-
-void forget_peer(target_peer_reports& known, instance_id peer)
-{
-    const auto forget = [&](peer_report& each)
+    *place = report;
+    if (report.kind != evidence_kind::speed)
     {
-        each = each.peer == peer ? peer_report() : each;
-    };
-    std::for_each(known.doubts.begin(), known.doubts.end(), forget);
-    std::for_each(known.speeds.begin(), known.speeds.end(), forget);
+        known.doubts_until = std::max(known.doubts_until, report.seen_at + max_doubt_age);
+    }
 }
 
 } // namespace kumquatpath
--- a/src/decision/target_selector.cpp
+++ b/src/decision/target_selector.cpp
@@ -1,4 +1,5 @@
 #include <kumquatpath/decision/target_cost.hpp>
+#include <kumquatpath/decision/target_review.hpp>
 #include <kumquatpath/decision/target_selector.hpp>
 
 #include <algorithm>
@@ -62,8 +63,6 @@
     /// The target or its data centre is suspect, so it gets trial flows only.
     bool is_unresponsive = false;
     avoidance_rank rank = 0;
-    /// The estimated speed; 1 unless speeds are used.
-    double speed = 1;
     /// Added to the cost while the target warms up.
     double warm_up_cost = 0;
 };
@@ -108,30 +107,38 @@
     }
     const bool is_at_risk = !request.is_repeatable && service.may_avoid_unproven &&
                             is_unproven(*each.stats, service.quick_share, now);
-    const bool is_doubted = each.stats->is_avoided_by_peer_reports ||
-                            (!request.is_repeatable && service.may_avoid_doubted &&
-                             doubts_about(*each.stats, now) > 0);
-    return base + (is_at_risk || is_doubted ? unsound_rank : 0);
+    const bool is_reported = each.stats->is_avoided_by_peer_reports ||
+                             (!request.is_repeatable && service.may_avoid_reported &&
+                              reports_against(*each.stats, now) > 0);
+    return base + (is_at_risk || is_reported ? unsound_rank : 0);
 }
 
 candidate assess(target_selector& selector, const target_directory& directory,
                  const selection_request& request, const service_stats& service,
-                 const target_index& index, time_point now)
+                 const target_index& index, bool has_suspect_data_centre, time_point now)
 {
     const known_target& target = directory.targets[index];
     target_stats& stats = stats_of(selector, directory, index);
     stats.known_since = stats.known_since.value_or(now);
     candidate result{.index = &index, .target = &target, .stats = &stats};
     result.is_unresponsive =
-        is_suspect(stats) || is_data_centre_suspect(selector, target.record.data_centre);
+        is_suspect(stats) ||
+        (has_suspect_data_centre &&
+         is_data_centre_suspect(selector, target.record.data_centre));
     result.rank = rank_of(result, request, service, now);
-    result.speed = selector.options.uses_speeds ? speed_of(stats.speed, now) : 1;
+    if (stats.estimate.is_outdated)
+    {
+        stats.estimate = estimate_of(stats, service, selector.options, now);
+    }
     return result;
 }
 
 bool is_full(const candidate& each)
 {
-    return each.stats->in_flight >= max_flows_at(*each.target, each.speed);
+    // Each target may have at least one.
+    return each.stats->in_flight > 0 &&
+           each.stats->in_flight >=
+               max_flows_at(*each.target, each.stats->estimate.speed);
 }
 
 void count_load(service_load& load, const candidate& each)
@@ -204,20 +211,25 @@
                                                           : compared.local;
 }
 
-/// Returns a random number that is the lowest one of a set with a probability in
-/// proportion to \p weight: the time to the first event of a Poisson process.
-double weighted_draw(double weight, double uniform)
+/// Returns an exponentially distributed number with the mean \p mean. The lowest one of a
+/// set belongs to a member with a probability in proportion to the inverse of its mean.
+double exponential_draw(double mean, double uniform)
+{
+    return -std::log1p(-uniform) * mean;
+}
+
+/// Returns a lower bound of exponential_draw() that needs no logarithm.
+double least_exponential_draw(double mean, double uniform)
 {
-    return -std::log1p(-uniform) / weight;
+    return uniform * mean;
 }
 
 void compare(comparison& result, const target_selector& selector,
-             const selection_request& request, const service_stats& service,
-             const candidate& each, time_point now)
+             const selection_request& request, const candidate& each, time_point now)
 {
-    const double cost = cost_of(selector, *each.target, *each.stats,
-                                service.mean_response_time_ms, request.warm_up, now) +
-                        each.warm_up_cost;
+    const double cost =
+        cost_of(selector, *each.target, *each.stats, request.warm_up, now) +
+        each.warm_up_cost;
     const double uniform = jitter(request.random, *each.index);
     if (!selector.options.uses_speeds)
     {
@@ -225,10 +237,12 @@
         return;
     }
     const bool is_local = each.target->record.data_centre == selector.local_data_centre;
-    const double weight = weight_of(*each.target, *each.stats, each.speed,
-                                    service.utilization, request.warm_up, now);
-    consider(is_local ? result.local : result.remote, each, cost,
-             weighted_draw(weight, uniform) + each.warm_up_cost);
+    choice& place = is_local ? result.local : result.remote;
+    const double mean = mean_draw_of(*each.target, *each.stats, request.warm_up, now);
+    const double least_draw = least_exponential_draw(mean, uniform) + each.warm_up_cost;
+    const bool may_win = each.rank < place.rank || least_draw < place.draw;
+    consider(place, each, cost,
+             may_win ? exponential_draw(mean, uniform) + each.warm_up_cost : least_draw);
 }
 
 /// Records the selection of \p selected, unless that is null, and returns it.
@@ -249,6 +263,7 @@
                            time_point now)
 {
     comparison result{.load = {.instances = selector.instances}};
+    const bool any_suspect = has_suspect_data_centre(selector);
     for (const target_index& index : targets_of(directory, request.service))
     {
         const warm_up_use warm_up = warm_up_use_of(selector.warm_up, request.warm_up,
@@ -257,7 +272,8 @@
         {
             continue;
         }
-        candidate each = assess(selector, directory, request, service, index, now);
+        candidate each =
+            assess(selector, directory, request, service, index, any_suspect, now);
         each.warm_up_cost = warm_up.cost;
         count_load(result.load, each);
         if (request.may_wait && each.rank < unhealthy_rank && is_full(each))
@@ -266,7 +282,7 @@
             continue;
         }
         consider_trial(selector, result, each, now);
-        compare(result, selector, request, service, each, now);
+        compare(result, selector, request, each, now);
     }
     return result;
 }
@@ -279,8 +295,8 @@
 {
     service_stats& service = selector.services[request.service];
     selector.stats.resize(std::max(selector.stats.size(), directory.targets.size()));
-    update_service_stats(selector, directory, service,
-                         targets_of(directory, request.service), now);
+    review_service(selector, directory, service, targets_of(directory, request.service),
+                   now);
     if (request.is_repeatable)
     {
         service.repeatable_seen_at = now;
