Flows leave their data centre by measured times

Cause: the fixed cost of the distance is compared with the instance's own few flows on each target, so with many instances nothing leaves a data centre whose targets are full while others have room. Change: with the setting remote_placement, off by default, an instance limits its flows in flight to local targets while flows elsewhere take less time, distance included, and callers would notice it. Flows beyond the limit go to a data centre with room, by a share that changes gradually. Metric flows_placed_remotely by reason, and remote in flow_placed. When all data centres have too little room, they still exchange a quarter of their flows in the test fleet, to no use.

--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -88,6 +88,9 @@
     std::optional<duration> opening_time;
     /// Time since the flow was opened; set for the packet that ends an answered flow.
     std::optional<duration> flow_time;
+    /// Why the flow was placed in another data centre; set only with
+    /// selection_options::measures_distance.
+    std::optional<remote_reason> remote;
 };
 
 /// An entry of the flow table.
@@ -120,6 +123,10 @@
     bool has_second_try = false;
     /// The target of the first placement, and when the opening was sent to it.
     target_index first_target = 0;
+    /// The service and data centre of the target as whose load the flow counts; valid
+    /// while is_in_flight and selection_options::measures_distance.
+    service_id service;
+    data_centre_id data_centre;
 };
 
 /// An opening to be checked when its target should have answered.
--- a/include/kumquatpath/decision/target_stats.hpp
+++ b/include/kumquatpath/decision/target_stats.hpp
@@ -12,6 +12,7 @@
 #include <kumquatpath/decision/answer_counts.hpp>
 #include <kumquatpath/decision/concurrency_limit.hpp>
 #include <kumquatpath/decision/peer_reports.hpp>
+#include <kumquatpath/decision/remote_placement.hpp>
 #include <kumquatpath/decision/target_directory.hpp>
 #include <kumquatpath/decision/target_speed.hpp>
 #include <kumquatpath/decision/warm_up_allowance.hpp>
@@ -108,6 +109,9 @@
     bool uses_speeds = false;
     /// Evidence about targets is reported to local peers, and theirs is used.
     bool uses_peer_evidence = false;
+    /// With uses_speeds: flows leave the local data centre by measured times; see
+    /// remote_placement.hpp. Otherwise by a fixed cost.
+    bool measures_distance = false;
 };
 
 /// The state of target selection of one instance.
@@ -130,6 +134,8 @@
     /// sound.
     std::uint64_t flows_placed_at_risk = 0;
     warm_up_allowance warm_up;
+    /// Used only with selection_options::measures_distance.
+    remote_placement remote;
 };
 
 // Queries.
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -126,6 +126,21 @@
     write_metric(out, "targets_avoided_by_peer_reports", avoided);
 }
 
+void write_remote_placement(std::ostream& out, const entry_instance& self)
+{
+    const target_selector& selector = self.steering.selector;
+    if (!selector.options.measures_distance)
+    {
+        return;
+    }
+    for (std::size_t i = 0; i < remote_reason_count; ++i)
+    {
+        out << "kumquatpath_flows_placed_remotely{why=\""
+            << to_string(static_cast<remote_reason>(i)) << "\"} "
+            << selector.remote.flows[i] << "\n";
+    }
+}
+
 void write_warm_ups(std::ostream& out, const entry_instance& self, time_point now)
 {
     const warm_up_allowance& warm_up = self.steering.selector.warm_up;
@@ -315,6 +330,7 @@
     write_targets(out, self, now);
     write_target_speeds(out, self, now);
     write_evidence(out, self);
+    write_remote_placement(out, self);
     for (const auto& [route, openings] : metrics.openings)
     {
         write_openings(out, route, openings);
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -26,7 +26,8 @@
          .address = settings.peer,
          .incarnation = incarnation,
          .selection = {.uses_speeds = settings.uses_target_speeds,
-                       .uses_peer_evidence = settings.shares_evidence},
+                       .uses_peer_evidence = settings.shares_evidence,
+                       .measures_distance = settings.uses_remote_placement},
          .second_tries_share = settings.second_tries_percent / percent});
 }
 
--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -323,6 +323,10 @@
         fields["busy"] = stats.in_flight;
         fields["overdue"] = stats.overdue_openings;
         fields["repeatable"] = is_repeatable(*self_.configuration.table, packet);
+        if (decision.remote)
+        {
+            fields["remote"] = to_string(*decision.remote);
+        }
         if (self_.steering.selector.options.uses_speeds)
         {
             fields["speed"] = speed_of(stats.speed, now);
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -14,14 +14,22 @@
 namespace json = boost::json;
 namespace leaf = boost::leaf;
 
-constexpr std::string_view known_keys[] = {"name",           "data_centre",
-                                           "data",           "ready",
-                                           "ready_path",     "metrics",
-                                           "peer",           "peer_key",
-                                           "seeds",          "state",
-                                           "interface",      "target_speeds",
-                                           "priorities",     "second_tries_percent",
-                                           "shared_evidence"};
+constexpr std::string_view known_keys[] = {"name",
+                                           "data_centre",
+                                           "data",
+                                           "ready",
+                                           "ready_path",
+                                           "metrics",
+                                           "peer",
+                                           "peer_key",
+                                           "seeds",
+                                           "state",
+                                           "interface",
+                                           "target_speeds",
+                                           "priorities",
+                                           "second_tries_percent",
+                                           "shared_evidence",
+                                           "remote_placement"};
 
 constexpr double max_second_tries_percent = 10;
 
@@ -169,6 +177,8 @@
     BOOST_LEAF_ASSIGN(settings.uses_priorities, read_flag(object, "priorities"));
     BOOST_LEAF_ASSIGN(settings.second_tries_percent, read_second_tries_percent(object));
     BOOST_LEAF_ASSIGN(settings.shares_evidence, read_flag(object, "shared_evidence"));
+    BOOST_LEAF_ASSIGN(settings.uses_remote_placement,
+                      read_flag(object, "remote_placement"));
     return settings;
 }
 
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -57,6 +57,8 @@
     double second_tries_percent = 0;
     /// Evidence about targets is reported to local peers, and theirs is used.
     bool shares_evidence = false;
+    /// New flows leave the data centre by measured times; see remote_placement.hpp.
+    bool uses_remote_placement = false;
 };
 
 /// An error in a settings file.
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -1,5 +1,6 @@
 #include "flow_table.hpp"
 #include "opening_rules.hpp"
+#include "remote_flows.hpp"
 
 #include <kumquatpath/decision/opening_verdict.hpp>
 
@@ -65,6 +66,7 @@
         return forward_to(directory, flow.target, false);
     }
     const target_index avoided = flow.target;
+    steering.selector.remote.reason.reset();
     const target_index* const next = select_target(steering.selector, directory,
                                                    {.service = rules.service,
                                                     .is_repeatable = rules.is_repeatable,
@@ -88,7 +90,9 @@
         return forward_to(directory, flow.target, false);
     }
     place_again(steering, directory, {flow_key}, flow, *next, now);
-    return forward_to(directory, flow.target, true);
+    steering_decision decision = forward_to(directory, flow.target, true);
+    decision.remote = count_remote_placement(steering, directory, flow.target);
+    return decision;
 }
 
 steering_decision steer_opening(flow_steering& steering, const routing_table& table,
@@ -109,6 +113,7 @@
         return steer_retransmission(steering, table, directory, rules, flow_key,
                                     found->second, now);
     }
+    steering.selector.remote.reason.reset();
     const target_index* const target =
         select_target(steering.selector, directory,
                       {.service = rules.service,
@@ -133,7 +138,9 @@
         assign_target(steering, directory, flow, *target, now);
         expect_answer(steering, flow, packet.flow, now);
     }
-    return forward_to(directory, *target, true);
+    steering_decision decision = forward_to(directory, *target, true);
+    decision.remote = count_remote_placement(steering, directory, *target);
+    return decision;
 }
 
 /// Records that \p answering_target has answered the opening of \p flow.
@@ -151,6 +158,7 @@
     flow.answered_at = now;
     record_opening_answered(steering.selector, directory, answering_target,
                             flow.placed_at, now);
+    record_remote_opening(steering, directory, flow, now);
 }
 
 /// Records that the request of \p flow was answered.
@@ -165,6 +173,7 @@
     {
         record_request_answered(steering.selector, directory, flow.target,
                                 now - *flow.request_sent_at, goal, now);
+        record_remote_request(steering, directory, flow, goal, now);
     }
     flow.request_sent_at.reset();
     set_in_flight(steering, directory, flow, false);
--- a/src/decision/flow_table.cpp
+++ b/src/decision/flow_table.cpp
@@ -1,10 +1,11 @@
 #include "flow_table.hpp"
 
+#include "remote_flows.hpp"
+
 #include <algorithm>
 
 namespace kumquatpath
 {
-
 void set_in_flight(flow_steering& steering, const target_directory& directory,
                    tracked_flow& flow, bool is_in_flight)
 {
@@ -14,6 +15,7 @@
     }
     flow.is_in_flight = is_in_flight;
     steering.finished_requests += is_in_flight ? 0U : 1U;
+    count_by_data_centre(steering, directory, flow);
     target_stats& stats = stats_of(steering.selector, directory, flow.target);
     if (stats.key != flow.key)
     {
--- a/src/decision/target_selector.cpp
+++ b/src/decision/target_selector.cpp
@@ -192,10 +192,48 @@
            now >= *service.repeatable_seen_at + repeatable_absence;
 }
 
+/// Returns the choice among the targets of both places, the remote one with the measured
+/// share of flows if no local target is better.
+const choice& better_place_by_times(target_selector& selector,
+                                    const target_directory& directory,
+                                    const selection_request& request,
+                                    const comparison& compared, time_point now)
+{
+    remote_placement& placement = selector.remote;
+    if (compared.remote.index == nullptr || compared.remote.rank > compared.local.rank)
+    {
+        return compared.local;
+    }
+    if (compared.remote.rank < compared.local.rank)
+    {
+        placement.reason = remote_reason::no_local_target;
+        return compared.remote;
+    }
+    const flow_to_place flow{
+        .service = request.service,
+        .local = selector.local_data_centre,
+        .remote = directory.targets[*compared.remote.index].record.data_centre,
+        .bearable_in_flight = selector.services[request.service].limit.min_in_flight,
+        .random = request.random};
+    update_placement(placement, flow, now);
+    if (!is_remote_better(placement, flow))
+    {
+        return compared.local;
+    }
+    placement.reason = remote_reason::shorter_time;
+    return compared.remote;
+}
+
 /// Returns the choice among the targets of both places. Flows stay local as long as a
-/// local target costs no more than each remote one.
-const choice& better_place(const comparison& compared)
+/// local target costs no more than each remote one, or by measured times.
+const choice& better_place(target_selector& selector, const target_directory& directory,
+                           const selection_request& request, const comparison& compared,
+                           time_point now)
 {
+    if (selector.options.uses_speeds && selector.options.measures_distance)
+    {
+        return better_place_by_times(selector, directory, request, compared, now);
+    }
     const auto order = [](const choice& each)
     {
         return std::pair(each.rank, each.least_cost);
@@ -294,7 +332,7 @@
                      selector.stats[*result.trial], now);
         return use_target(selector, directory, request, result.trial, now);
     }
-    const choice& best = better_place(result);
+    const choice& best = better_place(selector, directory, request, result, now);
     const bool is_best_healthy = best.index != nullptr && best.rank < unhealthy_rank;
     if (request.may_wait && is_best_healthy &&
         !may_start_request(service.limit, result.load))
--- a/test/daemon/settings_test.cpp
+++ b/test/daemon/settings_test.cpp
@@ -99,3 +99,14 @@
     text.replace(1, 0, R"("shared_evidence":"yes",)");
     STRCMP_EQUAL("at shared_evidence", invalid_key(text).c_str());
 }
+
+TEST(settings, flows_leave_the_data_centre_by_measured_times_only_if_the_file_says_so)
+{
+    CHECK_FALSE(read_settings(complete_settings)->uses_remote_placement);
+    std::string text = complete_settings;
+    text.replace(1, 0, R"("remote_placement":true,)");
+    CHECK_TRUE(read_settings(text)->uses_remote_placement);
+    text = complete_settings;
+    text.replace(1, 0, R"("remote_placement":1,)");
+    STRCMP_EQUAL("at remote_placement", invalid_key(text).c_str());
+}
