Tests: what a placed flow counts for, and why it is remote

Four tests of the flows that remote_placement counts: until they end, where they were counted if their target has left, the reason of a remote placement, and trial flows.

--- a/test/decision/remote_placement_steering_test.cpp
+++ b/test/decision/remote_placement_steering_test.cpp
@@ -1,5 +1,6 @@
 /// \file
-/// Tests of the choice of a target while flows leave the data centre by measured times.
+/// Tests of the choice of a target while flows leave the data centre by measured times,
+/// and of what the placed flows count for.
 
 #include "entry_fixture.hpp"
 
@@ -112,3 +113,76 @@
     LONGS_EQUAL(50, select_for(1s, 50ms));
     CHECK_TRUE(selector.remote.reason == remote_reason::no_local_target);
 }
+
+TEST_GROUP(remote_flows)
+{
+    time_point now{100s};
+    routing_table table = web_table();
+    target_directory directory;
+    flow_steering steering;
+
+    void setup() override
+    {
+        steering.selector.local_data_centre = north;
+        steering.selector.options = {.uses_speeds = true, .measures_distance = true};
+    }
+
+    std::uint32_t in_flight(data_centre_id id)
+    {
+        return steering.selector.remote.services[web].data_centres[id].in_flight;
+    }
+
+    steering_decision steer_packet(const flow_packet& packet)
+    {
+        now += 6ms;
+        return steer(steering, table, directory, packet, now);
+    }
+};
+
+TEST(remote_flows, a_flow_counts_for_the_data_centre_of_its_target_until_it_ends)
+{
+    apply_change(directory, announcement(1, 1, north), now);
+    const steering_decision placed = steer_packet(opening(1));
+    UNSIGNED_LONGS_EQUAL(1, in_flight(north));
+    steer_packet(continuation(1, placed.token));
+    steer_packet(ending(1, placed.token));
+    UNSIGNED_LONGS_EQUAL(0, in_flight(north));
+}
+
+TEST(remote_flows, a_flow_whose_target_has_left_stops_counting_where_it_was_counted)
+{
+    apply_change(directory, announcement(1, 1, north), now);
+    steer_packet(opening(1));
+    apply_change(directory, departure(1, 2), now);
+    apply_change(directory, announcement(2, 3, south), now);
+    steer_packet(opening(1, 2s));
+    UNSIGNED_LONGS_EQUAL(0, in_flight(north));
+    UNSIGNED_LONGS_EQUAL(1, in_flight(south));
+}
+
+TEST(remote_flows, a_remote_placement_says_why_and_is_counted)
+{
+    apply_change(directory, announcement(1, 1, south), now);
+    const steering_decision placed = steer_packet(opening(1));
+    CHECK_TRUE(placed.remote == remote_reason::no_local_target);
+    UNSIGNED_LONGS_EQUAL(
+        1, steering.selector.remote
+               .flows[static_cast<std::size_t>(remote_reason::no_local_target)]);
+    apply_change(directory, announcement(2, 2, north), now);
+    CHECK_FALSE(steer_packet(opening(2)).remote.has_value());
+}
+
+TEST(remote_flows, a_trial_flow_says_that_it_is_one)
+{
+    apply_change(directory, announcement(1, 1, north), now);
+    apply_change(directory, announcement(2, 2, south), now);
+    steer_packet(opening(1));
+    const target_index southern = 1;
+    for (int i = 0; i < 3; ++i)
+    {
+        record_opening_overdue(steering.selector, directory, southern, now);
+    }
+    const steering_decision placed = steer_packet(opening(2));
+    UNSIGNED_LONGS_EQUAL(southern, placed.target);
+    CHECK_TRUE(placed.remote == remote_reason::trial);
+}
