--- a/include/kumquatpath/decision/target_selector_state.hpp
+++ b/include/kumquatpath/decision/target_selector_state.hpp
@@ -4,6 +4,7 @@
 /// \file
 /// The state of target selection: the measurements, what follows from them, and options.
 
+#include <kumquatpath/decision/remote_placement.hpp>
 #include <kumquatpath/decision/target_stats.hpp>
 #include <kumquatpath/decision/warm_up_allowance.hpp>
 
@@ -36,6 +37,9 @@
     bool uses_speeds = false;
     /// Evidence about targets is reported to local peers, and theirs is used.
     bool uses_peer_evidence = false;
+    /// With uses_speeds: flows leave the local data centre by measured times; see
+    /// remote_placement.hpp. Otherwise by a fixed cost.
+    bool measures_distance = false;
 };
 
 /// The state of target selection of one instance.
@@ -59,6 +63,8 @@
     std::uint64_t flows_placed_at_risk = 0;
     warm_up_allowance warm_up;
     reportable_evidence reportable;
+    /// Used only with selection_options::measures_distance.
+    remote_placement remote;
 };
 
 } // namespace kumquatpath
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -29,7 +29,8 @@
                                            "priorities",
                                            "second_tries_percent",
                                            "shared_evidence",
-                                           "reset_ended_flows"};
+                                           "reset_ended_flows",
+                                           "remote_placement"};
 
 constexpr double max_second_tries_percent = 10;
 
@@ -193,6 +194,8 @@
     BOOST_LEAF_ASSIGN(settings.shares_evidence, read_flag(object, "shared_evidence"));
     BOOST_LEAF_ASSIGN(settings.resets_ended_flows,
                       read_ended_flow_resets(object, settings));
+    BOOST_LEAF_ASSIGN(settings.uses_remote_placement,
+                      read_flag(object, "remote_placement"));
     return settings;
 }
 
--- a/src/daemon/settings.hpp
+++ b/src/daemon/settings.hpp
@@ -59,6 +59,8 @@
     bool shares_evidence = false;
     /// Flows whose target has ended are reset; only with served_interface::platform.
     bool resets_ended_flows = false;
+    /// New flows leave the data centre by measured times; see remote_placement.hpp.
+    bool uses_remote_placement = false;
 };
 
 /// An error in a settings file.
