Updates: count only the targets whose state differs as changed

Cause: a configuration of the native interface lists every target with its own revision, so the event targets_changed counted all of them after any edit; a host that writes the same entry again counted too. Ruled out: the same count for the heartbeats that pass a change on, which also have to follow a newer revision: these go by the targets updated, as before. Change: an update has two counts, updated and changed; the event uses the second, and is not logged if it is 0. Conclusion: the event shows what is different. In the existing test of an incomplete reply, one check of the old count became two, of both counts.

--- a/include/kumquatpath/decision/directory_update.hpp
+++ b/include/kumquatpath/decision/directory_update.hpp
@@ -30,18 +30,27 @@
 
 // Commands.
 
+/// How many targets an update concerned.
+struct update_counts
+{
+    /// Targets whose known state has a newer revision now.
+    std::size_t updated = 0;
+    /// Those of them whose state differs from before. A configuration of the native
+    /// interface lists all targets anew, and few of them differ.
+    std::size_t changed = 0;
+};
+
 /// Applies the full state as it was at \p position. Targets that \p listing lacks or
 /// reports gone are gone, except those whose last change is at \p position or newer. A
-/// listing older than the directory is merged like single changes. Returns how many
-/// targets changed.
-std::size_t apply_listing(target_directory& directory,
-                          std::span<const target_change> listing, state_revision position,
-                          time_point now);
+/// listing older than the directory is merged like single changes.
+update_counts apply_listing(target_directory& directory,
+                            std::span<const target_change> listing,
+                            state_revision position, time_point now);
 
 /// The effect of an update.
 struct directory_update_result
 {
-    std::size_t targets_changed = 0;
+    update_counts targets;
     /// The directory could not move to the position of the update, as the update may lack
     /// changes or is invalid.
     bool is_incomplete = false;
--- a/include/kumquatpath/decision/entry_instance.hpp
+++ b/include/kumquatpath/decision/entry_instance.hpp
@@ -69,7 +69,7 @@
 /// The effect of an update of the shared state.
 struct state_update_result
 {
-    std::size_t targets_changed = 0;
+    update_counts targets;
     /// The evacuations that were put in force or withdrawn.
     std::vector<evacuation_change> evacuations;
     /// The update may lack changes, so the instance is not at its position.
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -216,21 +216,21 @@
              {"revision", self_.configuration.revision.value},
              {"routes", self_.configuration.table->routes.size()}});
     }
-    if (outcome.targets_changed > 0)
+    if (outcome.targets.changed > 0)
     {
         log(log_level::info, "targets_changed",
             {{"from", from},
-             {"changes", outcome.targets_changed},
+             {"changes", outcome.targets.changed},
              {"position", position},
              {"age_ms", state_age(self_, now).count()}});
     }
     report_evacuations(from, outcome.evacuations);
-    if (outcome.targets_changed > 0 || !outcome.evacuations.empty())
+    if (outcome.targets.updated > 0 || !outcome.evacuations.empty())
     {
         log_evacuated_services(now);
     }
     outputs_.set_ready(is_ready(self_));
-    const bool has_changes = outcome.targets_changed > 0 || is_configuration_new ||
+    const bool has_changes = outcome.targets.updated > 0 || is_configuration_new ||
                              !outcome.evacuations.empty();
     if (is_new_to_data_centre && has_changes)
     {
--- a/src/decision/directory_update.cpp
+++ b/src/decision/directory_update.cpp
@@ -42,14 +42,34 @@
     return marked;
 }
 
-/// Merges \p changes into a directory whose state may be newer. Returns how many changes
-/// took effect.
-std::size_t merge_changes(target_directory& directory,
-                          std::span<const target_change> changes, time_point now)
+/// Returns whether \p change differs from what \p directory knows of its target.
+bool is_different(const target_directory& directory, const target_change& change)
 {
-    return static_cast<std::size_t>(std::count_if(
-        changes.begin(), changes.end(),
-        [&](const target_change& each) { return apply_change(directory, each, now); }));
+    const auto found = directory.by_key.find(change.key.value);
+    if (found == directory.by_key.end())
+    {
+        return true;
+    }
+    const known_target& target = directory.targets[found->second];
+    return target.is_announced == change.is_gone ||
+           (!change.is_gone && change.record != target.record);
+}
+
+/// Merges \p changes into a directory whose state may be newer.
+update_counts merge_changes(target_directory& directory,
+                            std::span<const target_change> changes, time_point now)
+{
+    update_counts counts;
+    for (const target_change& each : changes)
+    {
+        const bool differs = is_different(directory, each);
+        if (apply_change(directory, each, now))
+        {
+            ++counts.updated;
+            counts.changed += differs ? 1U : 0U;
+        }
+    }
+    return counts;
 }
 
 } // namespace
@@ -90,22 +110,24 @@
             .targets = changes_since(directory, is_whole ? state_revision() : position)};
 }
 
-std::size_t apply_listing(target_directory& directory,
-                          std::span<const target_change> listing, state_revision position,
-                          time_point now)
+update_counts apply_listing(target_directory& directory,
+                            std::span<const target_change> listing,
+                            state_revision position, time_point now)
 {
-    std::size_t changed = merge_changes(directory, listing, now);
+    update_counts counts = merge_changes(directory, listing, now);
     if (position < directory.position)
     {
-        return changed;
+        return counts;
     }
-    changed += mark_unlisted_gone(directory, listing, position, now);
+    const std::size_t gone = mark_unlisted_gone(directory, listing, position, now);
+    counts.updated += gone;
+    counts.changed += gone;
     if (position > directory.position)
     {
         directory.position = position;
         directory.complete_from = std::max(directory.complete_from, position);
     }
-    return changed;
+    return counts;
 }
 
 directory_update_result apply_update(target_directory& directory,
@@ -115,11 +137,10 @@
         std::all_of(update.targets.begin(), update.targets.end(), is_valid);
     if (update.is_whole && is_valid_update)
     {
-        return {.targets_changed =
-                    apply_listing(directory, update.targets, update.position, now),
+        return {.targets = apply_listing(directory, update.targets, update.position, now),
                 .is_incomplete = false};
     }
-    directory_update_result result{.targets_changed =
+    directory_update_result result{.targets =
                                        merge_changes(directory, update.targets, now)};
     const bool is_complete = is_valid_update && !update.is_whole &&
                              update.complete_from <= update.position &&
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -177,7 +177,7 @@
         std::max(self.directory.complete_from, self.evacuations.complete_from);
     const directory_update_result applied = apply_update(self.directory, update, now);
     mark_evacuations(self);
-    result.targets_changed = applied.targets_changed;
+    result.targets = applied.targets;
     result.is_incomplete = applied.is_incomplete;
     return result;
 }
--- a/test/decision/directory_update_test.cpp
+++ b/test/decision/directory_update_test.cpp
@@ -187,13 +187,43 @@
     }
 }
 
+// A configuration of the native interface lists every target with its own revision.
+TEST(directory_update, a_listing_counts_only_the_targets_that_differ_as_changed)
+{
+    const auto count = [this](std::uint64_t position, std::vector<target_change> targets)
+    {
+        return apply_state_update(asker,
+                                  {.position = {position},
+                                   .complete_from = {position},
+                                   .is_whole = true,
+                                   .targets = std::move(targets)},
+                                  now)
+            .targets;
+    };
+    const auto check = [](std::size_t updated, std::size_t changed, update_counts counts)
+    {
+        UNSIGNED_LONGS_EQUAL(updated, counts.updated);
+        UNSIGNED_LONGS_EQUAL(changed, counts.changed);
+    };
+    check(2, 2, count(10, {announcement(1, 10), announcement(2, 10)}));
+    check(0, 0, count(10, {announcement(1, 10), announcement(2, 10)}));
+    target_change larger = announcement(2, 20);
+    larger.record->slots = 9;
+    check(2, 1, count(20, {announcement(1, 20), larger}));
+    check(1, 1, count(30, {announcement(1, 20)}));
+    check(1, 0, count(40, {announcement(1, 20), departure(2, 40)}));
+    check(1, 1, count(50, {announcement(1, 20), announcement(2, 50)}));
+}
+
 TEST(directory_update, a_reply_without_its_completeness_is_merged_but_moves_no_position)
 {
     list(asker, 10, {announcement(1, 5)});
     const state_update reply{.position = {12},
                              .complete_from = unknown_completeness,
                              .targets = {announcement(2, 12)}};
-    CHECK_TRUE(apply_state_update(asker, reply, now).targets_changed == 1);
+    const update_counts counts = apply_state_update(asker, reply, now).targets;
+    UNSIGNED_LONGS_EQUAL(1, counts.updated);
+    UNSIGNED_LONGS_EQUAL(1, counts.changed);
     CHECK_TRUE(takes_flows(asker, 2));
     UNSIGNED_LONGS_EQUAL(10, asker.directory.position.value);
     // The store's changes since then include what the reply lacked.
