Packet worker: datagrams that keep arriving leave time for signals and ticks

Cause: receive_packets() and receive_heartbeats() read until a batch was not full. Datagrams that arrive faster than they are handled kept the thread in that loop, so SIGTERM, ticks and heartbeats waited for the end of the flood, and the time from SIGTERM to the exit had no bound.

Ruled out by reading and by tests that pass before the change too: the state reader's blocking call (cancelled, no race between cancel() and the next operation), hanging connections of peers and of HTTP clients (their threads never block), and a full standard output (0.5 s, then the process ends).

Change: at most four full batches (256 datagrams) of a socket, then the other handlers get their turn; the wait for the rest is armed again as before.

--- a/src/daemon/packet_worker.hpp
+++ b/src/daemon/packet_worker.hpp
@@ -25,6 +25,11 @@
 namespace kumquatpath
 {
 
+/// The number of full batches of datagrams that are received at once before timers,
+/// signals and messages get their turn. Otherwise a flood would hold them up for as long
+/// as it lasts.
+inline constexpr std::size_t max_batches_per_wake_up = 4;
+
 /// Functions through which the packet_worker controls the other workers. Each is called
 /// on the packet_worker's thread and must not block.
 struct packet_worker_outputs
--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -72,7 +72,7 @@
 {
     const time_point now = monotonic_now();
     bool may_have_more = true;
-    while (may_have_more)
+    for (std::size_t i = 0; may_have_more && i < max_batches_per_wake_up; ++i)
     {
         const auto batch = data_socket_.receive();
         for (const received_datagram& each : batch)
