Failing targets: answers that took work lower the suspicion

Cause: a target was failing from three quick answers or so within 12 s, however many other answers it gave. With 4 to 9 quick answers in 100, a few come within 12 s by chance at some instance all the time, and the alarm went on and off as the count faded.

Change: answer_counts.suspicion. A quick answer adds 1, another one takes 0.4 off, down to 0, and it fades as before; a target is failing from 2.6. Three quick answers in a row still suffice, whatever the target gave before.

--- a/include/kumquatpath/decision/answer_counts.hpp
+++ b/include/kumquatpath/decision/answer_counts.hpp
@@ -7,8 +7,9 @@
 /// Answers go from the target to the caller without passing an instance (direct server
 /// return), so an instance does not see failures. A target that fails its requests at
 /// once looks very fast and would attract more and more flows. A failure takes much less
-/// time than a processed request, so a target with a far larger share of quick answers
-/// than the other targets of its service is avoided until its quick answers have decayed.
+/// time than a processed request, so a target with several quick answers close together,
+/// and a far larger share of them than the other targets of its service, is avoided until
+/// the suspicion has decayed.
 
 #include <kumquatpath/model/time.hpp>
 
@@ -20,6 +21,10 @@
 {
     double quick = 0;
     double total = 0;
+    /// How many more quick answers came lately than chance explains. Earlier answers that
+    /// took work do not lower it below 0, so a target that begins to fail is noticed as
+    /// soon as a new one.
+    double suspicion = 0;
     time_point updated_at;
 };
 
--- a/src/decision/answer_counts.cpp
+++ b/src/decision/answer_counts.cpp
@@ -1,5 +1,6 @@
 #include <kumquatpath/decision/answer_counts.hpp>
 
+#include <algorithm>
 #include <cmath>
 
 namespace kumquatpath
@@ -13,9 +14,12 @@
 constexpr double quick_fraction = 0.1;
 /// Below this mean response time, a failure can't be told apart from a processed request.
 constexpr duration min_mean_time = std::chrono::milliseconds(30);
-/// The decayed count of quick answers that a failing target has at least. It exceeds 2,
-/// so two quick answers never suffice.
-constexpr double min_quick_answers = 2.6;
+/// The suspicion of a failing target. It exceeds 2, so two quick answers never suffice.
+constexpr double min_suspicion = 2.6;
+/// By how much an answer that took work lowers the suspicion, as a fraction of what a
+/// quick one adds. Requests that need almost no work get quick answers from sound
+/// targets, too, but few in a row.
+constexpr double suspicion_per_real_answer = 0.4;
 /// The decayed count of quick answers from which a target is doubtful: one quick answer
 /// counts for about 8 s.
 constexpr double min_doubtful_answers = 0.5;
@@ -35,6 +39,7 @@
     const double factor = std::exp(-age / milliseconds_of(decay_time));
     return {.quick = counts.quick * factor,
             .total = counts.total * factor,
+            .suspicion = counts.suspicion * factor,
             .updated_at = now};
 }
 
@@ -51,7 +56,7 @@
 
 bool is_failing(const answer_counts& counts, double mean_share)
 {
-    return counts.quick >= min_quick_answers && has_high_share(counts, mean_share);
+    return counts.suspicion >= min_suspicion && has_high_share(counts, mean_share);
 }
 
 bool is_doubtful(const answer_counts& counts, double mean_share)
@@ -64,6 +69,9 @@
     counts = decayed(counts, now);
     counts.quick += is_quick ? 1 : 0;
     counts.total += 1;
+    counts.suspicion = is_quick
+                           ? counts.suspicion + 1
+                           : std::max(counts.suspicion - suspicion_per_real_answer, 0.0);
 }
 
 } // namespace kumquatpath
--- a/test/decision/answer_counts_test.cpp
+++ b/test/decision/answer_counts_test.cpp
@@ -3,6 +3,8 @@
 
 #include <kumquatpath/decision/answer_counts.hpp>
 
+#include <random>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpath;
@@ -56,3 +58,66 @@
     now += 30s;
     CHECK_FALSE(is_failing(decayed(counts, now), 0));
 }
+
+TEST_GROUP(answer_counts_by_chance)
+{
+    /// Answers of one target at one instance, one a second.
+    static constexpr int answers = 60;
+    static constexpr int targets = 1000;
+    static constexpr double usual_share = 0.05;
+    std::mt19937 random{7};
+
+    static void count(answer_counts & counts, bool is_quick, time_point& now)
+    {
+        now += 1s;
+        count_answer(counts, is_quick, now);
+    }
+
+    /// Returns the number of answers, of which \p share are quick, until a target that
+    /// was sound so far counts as failing; more than \c answers if none does.
+    int answers_until_failing(double share)
+    {
+        std::bernoulli_distribution is_quick(share);
+        answer_counts counts;
+        time_point now{100s};
+        for (int i = 0; i < 10; ++i)
+        {
+            count(counts, false, now);
+        }
+        int given = 0;
+        while (given <= answers && !is_failing(counts, usual_share))
+        {
+            count(counts, is_quick(random), now);
+            ++given;
+        }
+        return given;
+    }
+
+    /// Returns how many targets count as failing within \p limit answers.
+    int failing_targets(double share, int limit)
+    {
+        int failing = 0;
+        for (int i = 0; i < targets; ++i)
+        {
+            failing += answers_until_failing(share) <= limit ? 1 : 0;
+        }
+        return failing;
+    }
+};
+
+// One in twenty requests needed almost no work. In a fleet, some instance always found
+// some sound target failing.
+TEST(answer_counts_by_chance, sound_targets_with_a_few_quick_answers_do_not_fail)
+{
+    CHECK_TRUE(failing_targets(usual_share, answers) <= targets / 100);
+}
+
+TEST(answer_counts_by_chance, a_target_that_fails_all_requests_is_found_by_three_answers)
+{
+    LONGS_EQUAL(targets, failing_targets(1, 3));
+}
+
+TEST(answer_counts_by_chance, a_target_that_fails_half_of_its_requests_is_found)
+{
+    CHECK_TRUE(failing_targets(0.5, 20) >= targets * 9 / 10);
+}
