Failing targets: after an outage answers are compared with the usual time

Cause: an answer is quick if it takes less than a tenth of the service's mean time. That mean starts with the first answers and moves by 5% an answer of each target.

Tried and given up: the usual time that the speeds use.

Change: the time to compare with is the smaller one of the mean and the service's usual time, a mean of logarithms over some 64 answers, quick ones included; but 30 ms at least, so that services of short requests keep their detection. It does not depend on target_speeds.

--- a/include/kumquatpath/decision/answer_counts.hpp
+++ b/include/kumquatpath/decision/answer_counts.hpp
@@ -36,6 +36,10 @@
 /// Returns the share of quick answers, from 0 to 1; 0 if there are no answers.
 double quick_share(const answer_counts& counts);
 
+/// Returns the time that answers are compared with to find the quick ones, given the mean
+/// and the usual response time of a service; a usual time of 0 is unknown.
+duration time_to_compare(duration mean_time, duration usual_time);
+
 /// Returns whether an answer that took \p time is quick for a service with the mean
 /// response time \p mean_time. No answer is quick if the mean itself is short.
 bool is_quick(duration time, duration mean_time);
--- a/include/kumquatpath/decision/target_speed.hpp
+++ b/include/kumquatpath/decision/target_speed.hpp
@@ -62,8 +62,14 @@
 /// min_target_speed to max_target_speed; 1 if nothing is known.
 double speed_of(const target_speed& speed, time_point now);
 
+/// Returns the time that \p usual stands for; 0 if it rests on too few answers.
+duration time_of(const usual_answer_time& usual);
+
 // Commands.
 
+/// Adds an answer's time to \p usual, within a bound for outliers.
+void record_time(usual_answer_time& usual, duration time);
+
 /// Records that a target with the evidence \p speed answered after \p time. The first
 /// answers of a service only set \p usual.
 void record_answer_time(target_speed& speed, usual_answer_time& usual, duration time,
--- a/include/kumquatpath/decision/target_stats.hpp
+++ b/include/kumquatpath/decision/target_stats.hpp
@@ -64,6 +64,8 @@
 {
     concurrency_limit limit;
     usual_answer_time usual_time;
+    /// The usual time of all answers, quick ones included.
+    usual_answer_time usual_time_of_all;
     /// Smoothed share of the healthy targets' slots that are in use, as far as this
     /// instance can tell from its own flows.
     double utilization = 0;
--- a/src/decision/answer_counts.cpp
+++ b/src/decision/answer_counts.cpp
@@ -48,6 +48,15 @@
     return counts.total > 0 ? counts.quick / counts.total : 0;
 }
 
+duration time_to_compare(duration mean_time, duration usual_time)
+{
+    // The mean stays long for many answers after an outage, whose first requests take
+    // very long. The usual time follows sooner.
+    return usual_time == duration(0)
+               ? mean_time
+               : std::min(mean_time, std::max(usual_time, min_mean_time));
+}
+
 bool is_quick(duration time, duration mean_time)
 {
     return mean_time >= min_mean_time &&
--- a/src/decision/target_speed.cpp
+++ b/src/decision/target_speed.cpp
@@ -58,14 +58,29 @@
     return std::clamp(std::exp(-log_slowness), min_target_speed, max_target_speed);
 }
 
-void record_answer_time(target_speed& speed, usual_answer_time& usual, duration time,
-                        time_point now)
+duration time_of(const usual_answer_time& usual)
+{
+    if (usual.answers < min_usual_answers)
+    {
+        return duration(0);
+    }
+    return std::max(from_milliseconds(std::exp(usual.log_time)) - time_offset,
+                    duration(0));
+}
+
+void record_time(usual_answer_time& usual, duration time)
 {
     const double sample = log_of(time);
     const double expected = usual.answers == 0 ? sample : usual.log_time;
     usual.answers = std::min(usual.answers + 1, max_usual_answers);
     usual.log_time =
         expected + (without_outlier(sample, expected) - expected) / usual.answers;
+}
+
+void record_answer_time(target_speed& speed, usual_answer_time& usual, duration time,
+                        time_point now)
+{
+    record_time(usual, time);
     if (usual.answers < min_usual_answers)
     {
         return;
@@ -73,7 +88,8 @@
     speed_evidence& own = speed.own;
     own = decayed(own, now);
     own.answers = std::min(own.answers, max_own_answers - 1) + 1;
-    const double slowness = without_outlier(sample - usual.log_time, own.log_slowness);
+    const double slowness =
+        without_outlier(log_of(time) - usual.log_time, own.log_slowness);
     own.log_slowness += (slowness - own.log_slowness) / own.answers;
 }
 
--- a/src/decision/target_stats.cpp
+++ b/src/decision/target_stats.cpp
@@ -207,8 +207,10 @@
     const duration mean = from_milliseconds(service.mean_response_time_ms);
     target.response_time_ms = smoothed(target.response_time_ms, milliseconds_of(time),
                                        response_time_smoothing_factor);
-    const bool is_quick_answer =
-        is_quick(processing_time, mean - std::min(mean, round_trip));
+    record_time(service.usual_time_of_all, processing_time);
+    const duration compared = time_to_compare(mean - std::min(mean, round_trip),
+                                              time_of(service.usual_time_of_all));
+    const bool is_quick_answer = is_quick(processing_time, compared);
     count_answer(target.answers, is_quick_answer, now);
     (is_quick_answer ? target.quick_answer_at : target.real_answer_at) = now;
     if (selector.options.uses_speeds && !is_quick_answer &&
