--- a/src/decision/target_speed.cpp
+++ b/src/decision/target_speed.cpp
@@ -62,14 +62,29 @@
     return std::clamp(std::exp(-ln_slowness), min_target_speed, max_target_speed);
 }
 
-void record_answer_time(target_speed& speed, usual_answer_time& usual, duration time,
-                        time_point now)
+duration time_of(const usual_answer_time& usual)
+{
+    if (usual.answers < min_usual_answers)
+    {
+        return duration(0);
+    }
+    return std::max(from_milliseconds(std::exp(usual.ln_time)) - time_offset,
+                    duration(0));
+}
+
+void record_time(usual_answer_time& usual, duration time)
 {
     const double sample = ln_of(time);
     const double expected = usual.answers == 0 ? sample : usual.ln_time;
     usual.answers = std::min(usual.answers + 1, max_usual_answers);
     usual.ln_time =
         expected + (without_outlier(sample, expected) - expected) / usual.answers;
+}
+
+void record_answer_time(target_speed& speed, usual_answer_time& usual, duration time,
+                        time_point now)
+{
+    record_time(usual, time);
     if (usual.answers < min_usual_answers)
     {
         return;
@@ -77,7 +92,7 @@
     speed_evidence& own = speed.own;
     own = decayed(own, now);
     own.answers = std::min(own.answers, max_own_answers - 1) + 1;
-    const double slowness = without_outlier(sample - usual.ln_time, own.ln_slowness);
+    const double slowness = without_outlier(ln_of(time) - usual.ln_time, own.ln_slowness);
     own.ln_slowness += (slowness - own.ln_slowness) / own.answers;
 }
 
--- a/test/decision/target_choice_test.cpp
+++ b/test/decision/target_choice_test.cpp
@@ -132,7 +132,8 @@
             each.answers = {.total = 10, .updated_at = now};
         }
         // Too many quick answers, which the next review finds.
-        fresh.stats[0].answers = {.quick = 10, .total = 10, .updated_at = now};
+        fresh.stats[0].answers = {
+            .quick = 10, .total = 10, .suspicion = 10, .updated_at = now};
         select_target(fresh, many, {.service = web}, now + interval - 1ms);
         CHECK_FALSE(fresh.stats[0].is_failing);
         select_target(fresh, many, {.service = web}, now + interval);
