Test of evacuations: build with GCC 12 at -O3

Cause: a literal joined in front of a temporary string is reported as an overlapping copy (-Werror=restrict, a known false report of GCC 12 at -O3), so decision_test did not build with CMAKE_BUILD_TYPE=Release. RelWithDebInfo, the default, does not show it. Change: the name is appended to a string. No check changes. Before: evacuations_test.cpp fails to compile in Release. After: it compiles.

--- a/test/decision/evacuations_test.cpp
+++ b/test/decision/evacuations_test.cpp
@@ -16,6 +16,14 @@
 namespace
 {
 
+/// Returns the name of data centre \p number.
+std::string numbered(std::uint64_t number)
+{
+    std::string name = "d";
+    name += std::to_string(number);
+    return name;
+}
+
 evacuation_change evacuation(const std::string& name, std::uint64_t revision)
 {
     return {
@@ -166,7 +174,7 @@
     std::uint64_t revision = 1;
     while (revision <= max_known_evacuations)
     {
-        apply(partial({evacuation("d" + std::to_string(revision), revision)}, revision));
+        apply(partial({evacuation(numbered(revision), revision)}, revision));
         ++revision;
     }
     UNSIGNED_LONGS_EQUAL(0, apply(partial({evacuation("north", revision)}, revision)));
@@ -180,7 +188,7 @@
     std::uint64_t revision = 1;
     while (revision <= max_known_evacuations)
     {
-        apply(partial({withdrawal("d" + std::to_string(revision), revision)}, revision));
+        apply(partial({withdrawal(numbered(revision), revision)}, revision));
         ++revision;
     }
     apply(partial({evacuation("north", revision)}, revision), revision - 1);
