Ended flows: a target that is known only as gone ends no other

Cause: if a target is gone when an instance first learns of it, its departure stood for its announcement. A target that stops silently leaves the store only after the next target at its address is announced. An instance that started late therefore took the next target, which lives, for the one that has ended: it reset all its flows and placed no new ones on it, until that target announced itself again. Ruled out: the order of arrival (each order of the four changes is tried), the reuse of an index, a restart or rollback under the same key, a change of service, an evacuation, second tries and pinned flows: no false alarm there. Change: such a target is marked; it ends no other, and is itself ended only by an announcement after its departure. A target whose announcement is known takes the address over from it.

--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -72,9 +72,11 @@
     bool is_shadowed = false;
     /// The target's data centre is evacuated, so the target takes no new flows.
     bool is_evacuated = false;
-    /// The revision of the last announcement, or a later one if the target was gone when
-    /// it became known.
+    /// The revision of the last announcement, or a later one if is_announcement_older.
     state_revision announced_revision;
+    /// The target was gone when it became known: announced_revision is that of its
+    /// departure, and when it was announced is unknown.
+    bool is_announcement_older = false;
     /// Another target was announced later at the same address, so this one has ended and
     /// takes no new flows. Only if addresses are exclusive.
     bool is_replaced = false;
@@ -106,8 +108,8 @@
     /// Only one target at a time has an address: an address is announced by its next
     /// target only after the previous one has ended.
     bool has_exclusive_addresses = false;
-    /// The target that was announced last at each address, by the packed endpoint; only
-    /// if addresses are exclusive.
+    /// The target that was announced last at each address, as far as known, by the packed
+    /// endpoint; only if addresses are exclusive.
     boost::unordered_flat_map<std::uint64_t, target_index> by_address;
     /// By target key; only for targets that are not in the directory.
     boost::unordered_flat_map<std::uint64_t, target_tombstone> tombstones;
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -57,8 +57,15 @@
     }
 }
 
-/// Registers the address of the target at \p index. Of the targets at one address, all
-/// but the one that was announced last have ended.
+/// Returns whether \p later was certainly announced after \p earlier.
+bool is_announced_after(const known_target& later, const known_target& earlier)
+{
+    return !later.is_announcement_older &&
+           later.announced_revision > earlier.announced_revision;
+}
+
+/// Registers the address of the target at \p index. Of two targets at one address, the
+/// one that was certainly announced first has ended.
 void claim_address(target_directory& directory, target_index index)
 {
     if (!directory.has_exclusive_addresses)
@@ -68,16 +75,19 @@
     known_target& target = directory.targets[index];
     const auto holder =
         directory.by_address.try_emplace(pack(target.record.address), index).first;
-    known_target& last = directory.targets[holder->second];
-    if (holder->second == index || last.announced_revision < target.announced_revision)
+    if (holder->second == index)
     {
-        last.is_replaced = true;
         target.is_replaced = false;
-        holder->second = index;
+        return;
     }
-    else
+    known_target& last = directory.targets[holder->second];
+    target.is_replaced = is_announced_after(last, target);
+    last.is_replaced = last.is_replaced || is_announced_after(target, last);
+    const bool is_better_known =
+        last.is_announcement_older && !target.is_announcement_older;
+    if (is_announced_after(target, last) || is_better_known)
     {
-        target.is_replaced = last.announced_revision > target.announced_revision;
+        holder->second = index;
     }
 }
 
@@ -163,6 +173,7 @@
     target.record = *change.record;
     target.revision = change.revision;
     target.announced_revision = change.revision;
+    target.is_announcement_older = change.is_gone;
     target.is_announced = true;
     claim_address(directory, index);
 }
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -4,6 +4,8 @@
 
 #include "entry_fixture.hpp"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpath;
@@ -253,3 +255,174 @@
     remove_gone_targets(directory, now);
     LONGS_EQUAL(0, directory.by_address.size());
 }
+
+// An instance that starts late knows the target that ended only by its departure, whose
+// revision may be newer than the announcement of the next target at the address.
+TEST(ended_target, does_not_end_the_next_one_for_an_instance_that_learns_of_it_as_gone)
+{
+    apply_change(directory, announcement_at_address_of(1, 2, 20), now);
+    apply_change(directory, departure(1, 30), now);
+    directory.position = {30};
+    target_directory late{.has_exclusive_addresses = true};
+    apply_update(late, update_since(directory, {}), now);
+    CHECK_FALSE(late.targets[late.by_key.at(2)].is_replaced);
+}
+
+TEST(ended_target, does_not_end_the_next_one_whatever_the_order_of_a_peers_changes)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    std::vector<target_change> changes{announcement(1, 10),
+                                       announcement_at_address_of(1, 2, 20),
+                                       departure(1, 30), gone};
+    std::vector<std::size_t> order{0, 1, 2, 3};
+    do
+    {
+        target_directory any{.has_exclusive_addresses = true};
+        for (const std::size_t each : order)
+        {
+            apply_change(any, changes[each], now);
+            const auto next = any.by_key.find(2);
+            CHECK_FALSE(next != any.by_key.end() &&
+                        any.targets[next->second].is_replaced);
+        }
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(ended_target, leaves_its_service_the_next_one_at_its_address)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_change next = announcement_at_address_of(1, 2, 20);
+    next.record->service = web;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    apply_change(late, next, now);
+    const steering_decision placed = steer(steering, table, late, opening(1000), now);
+    CHECK_TRUE(placed.verdict == steering_verdict::forward);
+    LONGS_EQUAL(late.by_key.at(2), placed.target);
+}
+
+TEST(ended_target, is_told_to_an_instance_that_knows_it_as_gone_by_a_later_announcement)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    apply_change(late, announcement_at_address_of(1, 2, 40), now);
+    CHECK_TRUE(late.targets[late.by_key.at(1)].is_replaced);
+    target_directory reversed{.has_exclusive_addresses = true};
+    apply_change(reversed, announcement_at_address_of(1, 2, 40), now);
+    apply_change(reversed, gone, now);
+    CHECK_TRUE(reversed.targets[reversed.by_key.at(1)].is_replaced);
+}
+
+TEST(ended_target, is_told_by_the_last_of_three_although_the_first_is_known_only_as_gone)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    apply_change(late, announcement_at_address_of(1, 2, 20), now);
+    apply_change(late, announcement_at_address_of(1, 3, 25), now);
+    CHECK_TRUE(late.targets[late.by_key.at(2)].is_replaced);
+    CHECK_FALSE(late.targets[late.by_key.at(3)].is_replaced);
+}
+
+TEST(ended_target, is_not_one_that_moved_before_whatever_the_order_of_arrival)
+{
+    target_change moved = announcement(1, 15);
+    moved.record->address.port = 9090;
+    const std::vector<target_change> changes{announcement(1, 10), moved,
+                                             announcement_at_address_of(1, 2, 20)};
+    std::vector<std::size_t> order{0, 1, 2};
+    do
+    {
+        target_directory any{.has_exclusive_addresses = true};
+        for (const std::size_t each : order)
+        {
+            apply_change(any, changes[each], now);
+        }
+        CHECK_FALSE(any.targets[any.by_key.at(1)].is_replaced);
+        CHECK_FALSE(any.targets[any.by_key.at(2)].is_replaced);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(ended_target, is_not_one_that_restarts_or_is_rolled_back_under_its_own_key)
+{
+    const flow_token token = open_flow(1000);
+    target_change restarted = announcement(1, 20);
+    restarted.record->incarnation = 7;
+    apply_change(directory, restarted, now);
+    apply_change(directory, departure(1, 30), now);
+    apply_change(directory, announcement(1, 40), now);
+    apply_change(directory, announcement(1, 10), now);
+    CHECK_FALSE(is_replaced(1));
+    CHECK_TRUE(verdict_of(continuation(1000, token)) == steering_verdict::forward);
+}
+
+TEST(ended_target, is_not_one_that_changes_its_service_or_is_evacuated)
+{
+    const flow_token token = open_flow(1000);
+    target_change changed = announcement(1, 20);
+    changed.record->service = store;
+    apply_change(directory, changed, now);
+    directory.targets[directory.by_key.at(1)].is_evacuated = true;
+    CHECK_FALSE(is_replaced(1));
+    CHECK_TRUE(verdict_of(continuation(1000, token)) == steering_verdict::forward);
+}
+
+TEST(ended_target, does_not_end_the_one_that_gets_its_index)
+{
+    apply_change(directory, announcement_at_address_of(1, 2, 20), now);
+    apply_change(directory, departure(1, 30), now);
+    directory.position = {30};
+    now += gone_target_retention;
+    remove_gone_targets(directory, now);
+    apply_change(directory, announcement(3, 40), now);
+    LONGS_EQUAL(0, directory.by_key.at(3));
+    CHECK_FALSE(is_replaced(3));
+    CHECK_FALSE(is_replaced(2));
+    apply_change(directory, announcement_at_address_of(1, 4, 50), now);
+    CHECK_TRUE(is_replaced(2));
+    CHECK_FALSE(is_replaced(3));
+}
+
+// The link to it may lose an acknowledgement of an upload.
+TEST(ended_target, is_not_one_that_is_drained_and_leaves_a_packet_unanswered)
+{
+    target_change draining = announcement(1, 20);
+    draining.record->is_draining = true;
+    open_flow(1000);
+    apply_change(directory, draining, now);
+    verdict_of(payload(1000, 1));
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+}
+
+TEST(ended_target, of_a_first_placement_does_not_end_a_flow_that_another_one_answered)
+{
+    apply_change(directory, announcement(3, 15), now);
+    const steering_decision placed =
+        steer(steering, table, directory, opening(1000), now);
+    const std::uint64_t other =
+        directory.targets[placed.target].record.key.value == 1 ? 3 : 1;
+    const target_index second = directory.by_key.at(other);
+    place_second_try(steering, directory, {1000}, steering.flows.at(1000), second, now);
+    now += 6ms;
+    verdict_of(continuation(1000, token_of({other})));
+    const std::uint64_t first = other == 1 ? 3 : 1;
+    apply_change(directory, announcement_at_address_of(first, 2, 20), now);
+    CHECK_TRUE(verdict_of(continuation(1000, token_of({first}))) ==
+               steering_verdict::forward);
+}
+
+TEST(ended_target, is_not_the_one_of_a_pinned_flow_whose_token_names_an_ended_one)
+{
+    apply_change(directory, announcement(3, 15), now);
+    steering.pins_flows_opened_elsewhere = true;
+    verdict_of(continuation(1000, token_of({3})));
+    apply_change(directory, announcement_at_address_of(1, 2, 20), now);
+    CHECK_TRUE(verdict_of(continuation(1000, token_of({1}))) ==
+               steering_verdict::forward);
+}
