Ended flows: surer signs for a target whose announcement is missing

Cause: two flows whose target lives were reset by rule 2. First, an instance that learns of a target only as gone, as from a peer just after an outage of the store, counted its announcement as missing at once; one lost acknowledgement was then enough. After an outage, a drained target had no grace period either. Second, a flow table entry of an earlier flow of the same caller at another target counted as the first copy of a payload. Ruled out: a grace period in which such a target takes new flows; its announcement was never in force here. Change: missing_from says from when on a missing announcement counts; a payload counts only for the target that the flow table has for the flow. Before: is_not_at_once_one_that_an_instance_has_never_known_as_announced and is_not_told_by_a_payload_at_the_position_of_an_earlier_flows_one fail. Conclusion: the gain of rule 2 was not measured again.

--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -65,6 +65,9 @@
     /// The target takes new flows until then although it is gone; only valid if it is not
     /// announced.
     time_point grace_until;
+    /// Before then, the missing announcement says nothing about whether the target runs;
+    /// only valid if it is not announced.
+    time_point missing_from;
     /// False if this index is free.
     bool is_used = false;
     /// Another target with a smaller key has the same token, so this one takes no new
--- a/src/decision/ended_flows.cpp
+++ b/src/decision/ended_flows.cpp
@@ -19,7 +19,7 @@
 /// an outage of the shared state.
 bool is_missing(const known_target& target, time_point now)
 {
-    return !target.is_announced && now >= target.grace_until;
+    return !target.is_announced && now >= target.missing_from;
 }
 
 } // namespace
@@ -32,7 +32,8 @@
         return true;
     }
     const known_target& known = directory.targets[target];
-    const bool is_unanswered = flow != nullptr && is_retransmission(*flow, packet, now);
+    const bool is_unanswered = flow != nullptr && flow->key == known.record.key &&
+                               is_retransmission(*flow, packet, now);
     return !known.is_replaced && !(is_unanswered && is_missing(known, now));
 }
 
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -103,13 +103,15 @@
 }
 
 /// Marks \p target, which was just added, gone since \p revision. Its announcement was
-/// never in force here, so it gets no grace period.
+/// never in force here, so it takes no new flows. It may have expired in an outage that
+/// ended just before.
 void mark_never_announced(known_target& target, state_revision revision, time_point now)
 {
     target.revision = revision;
     target.is_announced = false;
     target.gone_since = now;
     target.grace_until = now;
+    target.missing_from = now + expiry_grace;
 }
 
 void mark_gone_if_reported(target_directory& directory, known_target& target,
@@ -345,6 +347,7 @@
     target.is_announced = false;
     target.gone_since = now;
     target.grace_until = target.record.is_draining ? now : directory.grace_until;
+    target.missing_from = directory.grace_until;
 }
 
 void record_outage_end(target_directory& directory, duration outage, time_point now)
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -400,6 +400,39 @@
     CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
 }
 
+// It may be running still: the peer that reports it gone knows of the outage, this
+// instance does not.
+TEST(ended_target, is_not_at_once_one_that_an_instance_has_never_known_as_announced)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    const auto verdict = [&]
+    {
+        return steer(steering, table, late, payload(1000, 1), now).verdict;
+    };
+    verdict();
+    now += 200ms;
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+    now += expiry_grace;
+    CHECK_TRUE(verdict() == steering_verdict::target_ended);
+}
+
+TEST(ended_target, is_not_told_by_a_payload_at_the_position_of_an_earlier_flows_one)
+{
+    apply_change(directory, announcement(3, 15), now);
+    open_flow(1000);
+    verdict_of(payload(1000, 1));
+    verdict_of(ending(1000, token_of({1})));
+    now += 1s;
+    // The caller uses the port again, through another instance.
+    apply_change(directory, departure(3, 20), now);
+    flow_packet request = payload(1000, 1);
+    request.token = token_of({3});
+    CHECK_TRUE(verdict_of(request) == steering_verdict::forward);
+}
+
 TEST(ended_target, of_a_first_placement_does_not_end_a_flow_that_another_one_answered)
 {
     apply_change(directory, announcement(3, 15), now);
