Ended flows: the missing announcement of a drained target is no sign

One lost acknowledgement of an upload then reset a flow whose target lives. Ruled out: telling a drained target that lives from one that does not by the retransmission alone; both look the same. Change: rule 2 does not apply to targets that were drained. Before: is_not_one_that_was_drained_when_its_announcement_went fails. Conclusion: flows that a drained target leaves behind wait as they did before the feature, unless another target gets the address. If targets are sure to close their flows before they leave the store, this commit can be reverted.

--- a/include/kumquatpath/decision/ended_flows.hpp
+++ b/include/kumquatpath/decision/ended_flows.hpp
@@ -6,8 +6,9 @@
 ///
 /// Their callers wait in vain, because nothing answers them. A false alarm would break an
 /// open flow, so silence alone is never enough: either another target was announced later
-/// at the same address, or the target is no longer announced and has left a packet of
-/// this flow unanswered. Nothing is detected unless addresses are exclusive.
+/// at the same address, or the target is no longer announced, although it was not
+/// drained, and has left a packet of this flow unanswered. Nothing is detected unless
+/// addresses are exclusive.
 
 #include <kumquatpath/decision/flow_steering.hpp>
 
--- a/src/decision/ended_flows.cpp
+++ b/src/decision/ended_flows.cpp
@@ -15,11 +15,12 @@
            now >= flow.payload_seen_at + min_retransmission_age;
 }
 
-/// Returns whether the announcement of \p target is missing, other than for a while after
-/// an outage of the shared state.
+/// Returns whether the announcement of \p target is missing although the target was not
+/// drained, other than for a while after an outage of the shared state.
 bool is_missing(const known_target& target, time_point now)
 {
-    return !target.is_announced && now >= target.missing_from;
+    return !target.is_announced && !target.record.is_draining &&
+           now >= target.missing_from;
 }
 
 } // namespace
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -400,6 +400,19 @@
     CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
 }
 
+// A drained target may leave the store before its last flows end.
+TEST(ended_target, is_not_one_that_was_drained_when_its_announcement_went)
+{
+    target_change draining = announcement(1, 20);
+    draining.record->is_draining = true;
+    open_flow(1000);
+    apply_change(directory, draining, now);
+    apply_change(directory, departure(1, 30), now);
+    verdict_of(payload(1000, 1));
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+}
+
 // It may be running still: the peer that reports it gone knows of the outage, this
 // instance does not.
 TEST(ended_target, is_not_at_once_one_that_an_instance_has_never_known_as_announced)
