--- a/src/client/verb_table.cpp
+++ b/src/client/verb_table.cpp
@@ -136,7 +136,7 @@
 
   --strict   exit with 7 if there are warnings
   --compare  exit with 3 if the document could not be compared, and with 2 if no platform
-             is set
+             is set or its address is malformed
 
 Examples:
   kumquatpath check site.json
--- a/src/model/review_limits.cpp
+++ b/src/model/review_limits.cpp
@@ -82,11 +82,10 @@
         {
             found.push_back(
                 {.pointer = pointer_to_key(section, each.name, "requests_per_second"),
-                 .description = "The limit of " +
-                                std::to_string(each.requests_per_second) +
-                                " new flows a second is never reached: all listeners "
-                                "together accept at most " +
-                                std::to_string(limit) + '.'});
+                 .description =
+                     "The limit of " + std::to_string(each.requests_per_second) +
+                     " new flows a second is above the " + std::to_string(limit) +
+                     " that all listeners together accept."});
         }
     }
     return found;
@@ -277,9 +276,8 @@
                      pointer_to_key("services", each.name, "warm_up_requests_per_second"),
                  .description = "The limit of " +
                                 std::to_string(each.warm_up_requests_per_second) +
-                                " new flows a second to one target is never reached: the "
-                                "service accepts at most " +
-                                std::to_string(limit) + '.'});
+                                " new flows a second to one target is above the " +
+                                std::to_string(limit) + " that the service accepts."});
         }
     }
     return found;
