Control traffic: say what is counted; await both counts in the test

Cause: the doc comments did not say that refused datagrams and frames count, that cancelled calls and broken frames do not, and that heartbeats count when they are queued. The test read the answering end's counter when the asking end had its reply; the answering end counts in a handler that may run later, so stopping it could leave the count at 0. Ruled out: lifetimes (the counters outlive their handlers, and the function that reads them runs only in daemon::run()) and memory order. Change: comments; the test waits, within its 5 s, until both ends have counted. Its checks stay.

--- a/include/kumquatpath/edge/http_client.hpp
+++ b/include/kumquatpath/edge/http_client.hpp
@@ -84,7 +84,9 @@
     /// thread.
     void cancel();
 
-    /// Returns the traffic of all calls, failed ones too. May be called from any thread.
+    /// Returns the bytes of the requests and of the responses as far as they were parsed,
+    /// failed calls included. What a cancelled call carried is not counted. May be called
+    /// from any thread.
     traffic total_traffic() const noexcept;
 
 private:
--- a/src/daemon/metrics.hpp
+++ b/src/daemon/metrics.hpp
@@ -41,11 +41,15 @@
     std::map<std::string, std::uint64_t, std::less<>> refused;
 };
 
-/// What the instance exchanges for its own coordination, apart from callers' packets.
+/// What the instance exchanges for its own coordination, apart from callers' packets,
+/// readiness checks and requests for pages.
 struct control_traffic
 {
+    /// Datagrams that were queued for sending, and all that arrived, refused ones too.
     traffic heartbeats;
+    /// See state_transfer::total_traffic().
     traffic state_transfers;
+    /// See http_client::total_traffic().
     traffic store;
 };
 
--- a/src/daemon/state_transfer.hpp
+++ b/src/daemon/state_transfer.hpp
@@ -55,8 +55,9 @@
     /// Makes run() return. May be called from any thread.
     void stop();
 
-    /// Returns the bytes of all frames that were carried whole. May be called from any
-    /// thread.
+    /// Returns the bytes of all frames that were carried whole, with their length
+    /// prefixes, also of those that were refused. A frame that broke off is not counted.
+    /// May be called from any thread.
     traffic total_traffic() const noexcept;
 
 private:
--- a/test/daemon/control_traffic_test.cpp
+++ b/test/daemon/control_traffic_test.cpp
@@ -57,7 +57,12 @@
     std::thread serving_thread([&] { serving.run(); });
     std::thread asking_thread([&] { asking.run(); });
     const auto deadline = std::chrono::steady_clock::now() + 5s;
-    while (!is_complete && std::chrono::steady_clock::now() < deadline)
+    // The reply may arrive before the end that sends it has counted it.
+    const auto is_counted = [&]
+    {
+        return is_complete && serving.total_traffic().sent > 0;
+    };
+    while (!is_counted() && std::chrono::steady_clock::now() < deadline)
     {
         std::this_thread::sleep_for(1ms);
     }
