Metrics: resets of open flows are no refused openings

Cause: openings_refused and route_openings_refused counted each reset of an open flow, also repeated ones, so that they no longer told how many openings were refused. Change: only openings count there. packets{verdict="target_ended"} and the event flow_refused tell the resets, as OPERATIONS.md says. Before and after: no test reaches packet_worker; daemon_test passes (22 tests).

--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -191,9 +191,12 @@
     endpoint to;
     const std::size_t size = format_.write_refusal(received, output_buffer_, to);
     data_socket_.queue(to, byte_view(output_buffer_).first(size));
-    ++metrics_.openings_refused;
-    count_refusal(metrics_, route_name(*self_.configuration.table, packet.listener),
-                  refused.why);
+    if (packet.is_opening)
+    {
+        ++metrics_.openings_refused;
+        count_refusal(metrics_, route_name(*self_.configuration.table, packet.listener),
+                      refused.why);
+    }
     if (!may_log(now))
     {
         return;
