--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -11,8 +11,8 @@
 /// determines the candidates. A packet whose target is not certain is dropped: the caller
 /// retransmits it, whereas a wrong target would end the flow.
 ///
-/// A flow whose target has certainly ended is reset, so that its caller can try again
-/// instead of waiting until its deadline; see ended_flows.hpp.
+/// A flow whose target has ended, as far as ended_flows.hpp can tell, is reset, so that
+/// its caller can try again instead of waiting until its deadline.
 ///
 /// An instance tracks the flows that it has seen in order to measure their targets. The
 /// flow table is bounded and may be lost at any time without harm to a flow.
