Ended flows: no missing announcement counts while the state is outdated

Cause: a departure that was learnt just before the store went out of reach counted all through the outage, although the target may have announced itself again unnoticed; one lost acknowledgement then reset its flow. So it did in the moment between the end of the outage and the next announcement. Ruled out: the order of an outage's end and a peer's reply, for which a test is added that passed before. Change: tick() marks the directory outdated once the state is min_outage_for_expiry (3 s) old; rule 2 pauses until then and for expiry_grace after the outage, for targets that were missing before as well. Before: with the condition taken out, is_not_told_by_a_missing_announcement_while_the_store_is_out_of_reach fails. After: decision_test passes, 325 tests. Conclusion: if the state of a healthy instance gets 3 s old, rule 2 does less; what it gains was not measured again.

--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -126,6 +126,9 @@
     /// A target that is reported gone before this time takes new flows until then, unless
     /// it is draining.
     time_point grace_until;
+    /// The shared state has been out of reach for so long that a target whose
+    /// announcement is missing may have announced itself again.
+    bool is_outdated = false;
     /// The number of announcements whose warm-up was longer than max_warm_up.
     std::uint64_t warm_ups_shortened = 0;
 };
--- a/src/decision/ended_flows.cpp
+++ b/src/decision/ended_flows.cpp
@@ -16,10 +16,12 @@
 }
 
 /// Returns whether the announcement of \p target is missing although the target was not
-/// drained, other than for a while after an outage of the shared state.
-bool is_missing(const known_target& target, time_point now)
+/// drained and the shared state is current, other than for a while after an outage.
+bool is_missing(const target_directory& directory, const known_target& target,
+                time_point now)
 {
-    return !target.is_announced && !target.record.is_draining &&
+    const bool may_be_unknown = directory.is_outdated || now < directory.grace_until;
+    return !target.is_announced && !target.record.is_draining && !may_be_unknown &&
            now >= target.missing_from;
 }
 
@@ -35,7 +37,7 @@
     const known_target& known = directory.targets[target];
     const bool is_unanswered = flow != nullptr && flow->key == known.record.key &&
                                is_retransmission(*flow, packet, now);
-    return !known.is_replaced && !(is_unanswered && is_missing(known, now));
+    return !known.is_replaced && !(is_unanswered && is_missing(directory, known, now));
 }
 
 void record_payload(tracked_flow& flow, const flow_packet& packet, time_point now)
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -306,6 +306,8 @@
     {
         record_freshness(self, *newest.as_of, now);
     }
+    self.directory.is_outdated =
+        self.fresh_as_of && now - *self.fresh_as_of >= min_outage_for_expiry;
     update_cut_off(self, now);
     if (now >= self.next_maintenance_at)
     {
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -347,7 +347,7 @@
     target.is_announced = false;
     target.gone_since = now;
     target.grace_until = target.record.is_draining ? now : directory.grace_until;
-    target.missing_from = directory.grace_until;
+    target.missing_from = now;
 }
 
 void record_outage_end(target_directory& directory, duration outage, time_point now)
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -472,3 +472,55 @@
     CHECK_TRUE(verdict_of(continuation(1000, token_of({1}))) ==
                steering_verdict::forward);
 }
+
+// The target may have announced itself again, which this instance cannot learn.
+TEST(ended_target, is_not_told_by_a_missing_announcement_while_the_store_is_out_of_reach)
+{
+    entry_instance self = make_entry_instance(
+        {.self = {1}, .local_data_centre = north, .has_exclusive_addresses = true});
+    const auto verdict = [&]
+    {
+        return steer(self.steering, table, self.directory, payload(1000, 1), now).verdict;
+    };
+    apply_state_update(
+        self, {.position = {10}, .is_whole = true, .targets = {announcement(1, 10)}},
+        now);
+    apply_state_update(
+        self, {.position = {20}, .complete_from = {10}, .targets = {departure(1, 20)}},
+        now);
+    record_state_read(self, now, now);
+    now += 10s;
+    tick(self, now);
+    verdict();
+    now += 200ms;
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+
+    // It may take a moment to do so after the outage, too.
+    record_state_read(self, now, now);
+    tick(self, now);
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+    now += expiry_grace;
+    CHECK_TRUE(verdict() == steering_verdict::target_ended);
+}
+
+TEST(ended_target, is_not_one_that_a_peer_reports_gone_just_after_an_outage)
+{
+    entry_instance self = make_entry_instance(
+        {.self = {1}, .local_data_centre = north, .has_exclusive_addresses = true});
+    const auto verdict = [&]
+    {
+        return steer(self.steering, table, self.directory, payload(1000, 1), now).verdict;
+    };
+    apply_state_update(
+        self, {.position = {10}, .is_whole = true, .targets = {announcement(1, 10)}},
+        now);
+    record_state_read(self, now, now);
+    now += 10s;
+    const state_reply reply{.update = {.position = {20},
+                                       .complete_from = {10},
+                                       .targets = {departure(1, 20)}}};
+    apply_peer_reply(self, {2}, reply, nullptr, now);
+    verdict();
+    now += 200ms;
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+}
