--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -4,6 +4,8 @@
 
 #include "entry_fixture.hpp"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatpath;
@@ -253,3 +255,272 @@
     remove_gone_targets(directory, now);
     LONGS_EQUAL(0, directory.by_address.size());
 }
+
+// An instance that starts late knows the target that ended only by its departure, whose
+// revision may be newer than the announcement of the next target at the address.
+TEST(ended_target, does_not_end_the_next_one_for_an_instance_that_learns_of_it_as_gone)
+{
+    apply_change(directory, announcement_at_address_of(1, 2, 20), now);
+    apply_change(directory, departure(1, 30), now);
+    directory.position = {30};
+    target_directory late{.has_exclusive_addresses = true};
+    apply_update(late, update_since(directory, {}), now);
+    CHECK_FALSE(late.targets[late.by_key.at(2)].is_replaced);
+}
+
+TEST(ended_target, does_not_end_the_next_one_whatever_the_order_of_a_peers_changes)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    std::vector<target_change> changes{announcement(1, 10),
+                                       announcement_at_address_of(1, 2, 20),
+                                       departure(1, 30), gone};
+    std::vector<std::size_t> order{0, 1, 2, 3};
+    do
+    {
+        target_directory any{.has_exclusive_addresses = true};
+        for (const std::size_t each : order)
+        {
+            apply_change(any, changes[each], now);
+            const auto next = any.by_key.find(2);
+            CHECK_FALSE(next != any.by_key.end() &&
+                        any.targets[next->second].is_replaced);
+        }
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(ended_target, leaves_its_service_the_next_one_at_its_address)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_change next = announcement_at_address_of(1, 2, 20);
+    next.record->service = web;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    apply_change(late, next, now);
+    const steering_decision placed = steer(steering, table, late, opening(1000), now);
+    CHECK_TRUE(placed.verdict == steering_verdict::forward);
+    LONGS_EQUAL(late.by_key.at(2), placed.target);
+}
+
+TEST(ended_target, is_told_to_an_instance_that_knows_it_as_gone_by_a_later_announcement)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    apply_change(late, announcement_at_address_of(1, 2, 40), now);
+    CHECK_TRUE(late.targets[late.by_key.at(1)].is_replaced);
+    target_directory reversed{.has_exclusive_addresses = true};
+    apply_change(reversed, announcement_at_address_of(1, 2, 40), now);
+    apply_change(reversed, gone, now);
+    CHECK_TRUE(reversed.targets[reversed.by_key.at(1)].is_replaced);
+}
+
+TEST(ended_target, is_told_by_the_last_of_three_although_the_first_is_known_only_as_gone)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    apply_change(late, announcement_at_address_of(1, 2, 20), now);
+    apply_change(late, announcement_at_address_of(1, 3, 25), now);
+    CHECK_TRUE(late.targets[late.by_key.at(2)].is_replaced);
+    CHECK_FALSE(late.targets[late.by_key.at(3)].is_replaced);
+}
+
+TEST(ended_target, is_not_one_that_moved_before_whatever_the_order_of_arrival)
+{
+    target_change moved = announcement(1, 15);
+    moved.record->address.port = 9090;
+    const std::vector<target_change> changes{announcement(1, 10), moved,
+                                             announcement_at_address_of(1, 2, 20)};
+    std::vector<std::size_t> order{0, 1, 2};
+    do
+    {
+        target_directory any{.has_exclusive_addresses = true};
+        for (const std::size_t each : order)
+        {
+            apply_change(any, changes[each], now);
+        }
+        CHECK_FALSE(any.targets[any.by_key.at(1)].is_replaced);
+        CHECK_FALSE(any.targets[any.by_key.at(2)].is_replaced);
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST(ended_target, is_not_one_that_restarts_or_is_rolled_back_under_its_own_key)
+{
+    const flow_token token = open_flow(1000);
+    target_change restarted = announcement(1, 20);
+    restarted.record->incarnation = 7;
+    apply_change(directory, restarted, now);
+    apply_change(directory, departure(1, 30), now);
+    apply_change(directory, announcement(1, 40), now);
+    apply_change(directory, announcement(1, 10), now);
+    CHECK_FALSE(is_replaced(1));
+    CHECK_TRUE(verdict_of(continuation(1000, token)) == steering_verdict::forward);
+}
+
+TEST(ended_target, is_not_one_that_changes_its_service_or_is_evacuated)
+{
+    const flow_token token = open_flow(1000);
+    target_change changed = announcement(1, 20);
+    changed.record->service = store;
+    apply_change(directory, changed, now);
+    directory.targets[directory.by_key.at(1)].is_evacuated = true;
+    CHECK_FALSE(is_replaced(1));
+    CHECK_TRUE(verdict_of(continuation(1000, token)) == steering_verdict::forward);
+}
+
+TEST(ended_target, does_not_end_the_one_that_gets_its_index)
+{
+    apply_change(directory, announcement_at_address_of(1, 2, 20), now);
+    apply_change(directory, departure(1, 30), now);
+    directory.position = {30};
+    now += gone_target_retention;
+    remove_gone_targets(directory, now);
+    apply_change(directory, announcement(3, 40), now);
+    LONGS_EQUAL(0, directory.by_key.at(3));
+    CHECK_FALSE(is_replaced(3));
+    CHECK_FALSE(is_replaced(2));
+    apply_change(directory, announcement_at_address_of(1, 4, 50), now);
+    CHECK_TRUE(is_replaced(2));
+    CHECK_FALSE(is_replaced(3));
+}
+
+// The link to it may lose an acknowledgement of an upload.
+TEST(ended_target, is_not_one_that_is_drained_and_leaves_a_packet_unanswered)
+{
+    target_change draining = announcement(1, 20);
+    draining.record->is_draining = true;
+    open_flow(1000);
+    apply_change(directory, draining, now);
+    verdict_of(payload(1000, 1));
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+}
+
+// A drained target may leave the store before its last flows end.
+TEST(ended_target, is_not_one_that_was_drained_when_its_announcement_went)
+{
+    target_change draining = announcement(1, 20);
+    draining.record->is_draining = true;
+    open_flow(1000);
+    apply_change(directory, draining, now);
+    apply_change(directory, departure(1, 30), now);
+    verdict_of(payload(1000, 1));
+    now += 200ms;
+    CHECK_TRUE(verdict_of(payload(1000, 1)) == steering_verdict::forward);
+}
+
+// It may be running still: the peer that reports it gone knows of the outage, this
+// instance does not.
+TEST(ended_target, is_not_at_once_one_that_an_instance_has_never_known_as_announced)
+{
+    target_change gone = announcement(1, 30);
+    gone.is_gone = true;
+    target_directory late{.has_exclusive_addresses = true};
+    apply_change(late, gone, now);
+    const auto verdict = [&]
+    {
+        return steer(steering, table, late, payload(1000, 1), now).verdict;
+    };
+    verdict();
+    now += 200ms;
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+    now += expiry_grace;
+    CHECK_TRUE(verdict() == steering_verdict::target_ended);
+}
+
+TEST(ended_target, is_not_told_by_a_payload_at_the_position_of_an_earlier_flows_one)
+{
+    apply_change(directory, announcement(3, 15), now);
+    open_flow(1000);
+    verdict_of(payload(1000, 1));
+    verdict_of(ending(1000, token_of({1})));
+    now += 1s;
+    // The caller uses the port again, through another instance.
+    apply_change(directory, departure(3, 20), now);
+    flow_packet request = payload(1000, 1);
+    request.token = token_of({3});
+    CHECK_TRUE(verdict_of(request) == steering_verdict::forward);
+}
+
+TEST(ended_target, of_a_first_placement_does_not_end_a_flow_that_another_one_answered)
+{
+    apply_change(directory, announcement(3, 15), now);
+    const steering_decision placed =
+        steer(steering, table, directory, opening(1000), now);
+    const std::uint64_t other =
+        directory.targets[placed.target].record.key.value == 1 ? 3 : 1;
+    const target_index second = directory.by_key.at(other);
+    place_second_try(steering, directory, {1000}, steering.flows.at(1000), second, now);
+    now += 6ms;
+    verdict_of(continuation(1000, token_of({other})));
+    const std::uint64_t first = other == 1 ? 3 : 1;
+    apply_change(directory, announcement_at_address_of(first, 2, 20), now);
+    CHECK_TRUE(verdict_of(continuation(1000, token_of({first}))) ==
+               steering_verdict::forward);
+}
+
+TEST(ended_target, is_not_the_one_of_a_pinned_flow_whose_token_names_an_ended_one)
+{
+    apply_change(directory, announcement(3, 15), now);
+    steering.pins_flows_opened_elsewhere = true;
+    verdict_of(continuation(1000, token_of({3})));
+    apply_change(directory, announcement_at_address_of(1, 2, 20), now);
+    CHECK_TRUE(verdict_of(continuation(1000, token_of({1}))) ==
+               steering_verdict::forward);
+}
+
+// The target may have announced itself again, which this instance cannot learn.
+TEST(ended_target, is_not_told_by_a_missing_announcement_while_the_store_is_out_of_reach)
+{
+    entry_instance self = make_entry_instance(
+        {.self = {1}, .local_data_centre = north, .has_exclusive_addresses = true});
+    const auto verdict = [&]
+    {
+        return steer(self.steering, table, self.directory, payload(1000, 1), now).verdict;
+    };
+    apply_state_update(
+        self, {.position = {10}, .is_whole = true, .targets = {announcement(1, 10)}},
+        now);
+    apply_state_update(
+        self, {.position = {20}, .complete_from = {10}, .targets = {departure(1, 20)}},
+        now);
+    record_state_read(self, now, now);
+    now += 10s;
+    tick(self, now);
+    verdict();
+    now += 200ms;
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+
+    // It may take a moment to do so after the outage, too.
+    record_state_read(self, now, now);
+    tick(self, now);
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+    now += expiry_grace;
+    CHECK_TRUE(verdict() == steering_verdict::target_ended);
+}
+
+TEST(ended_target, is_not_one_that_a_peer_reports_gone_just_after_an_outage)
+{
+    entry_instance self = make_entry_instance(
+        {.self = {1}, .local_data_centre = north, .has_exclusive_addresses = true});
+    const auto verdict = [&]
+    {
+        return steer(self.steering, table, self.directory, payload(1000, 1), now).verdict;
+    };
+    apply_state_update(
+        self, {.position = {10}, .is_whole = true, .targets = {announcement(1, 10)}},
+        now);
+    record_state_read(self, now, now);
+    now += 10s;
+    const state_reply reply{.update = {.position = {20},
+                                       .complete_from = {10},
+                                       .targets = {departure(1, 20)}}};
+    apply_peer_reply(self, {2}, reply, nullptr, now);
+    verdict();
+    now += 200ms;
+    CHECK_TRUE(verdict() == steering_verdict::forward);
+}
