--- a/test/smoke/removed_target_test.py
+++ b/test/smoke/removed_target_test.py
@@ -36,12 +36,24 @@
     return bool(events) and '"reading_started"' in events[-1]
 
 
+def reading_lines(test_bed):
+    """Returns the lines of all logs about reading the store."""
+    lines = []
+    for name in platform.INSTANCES:
+        with open(os.path.join(test_bed.folder, f"{name}.log")) as file:
+            lines += [line.strip() for line in file if '"reading_' in line]
+    return lines
+
+
 def readers(test_bed):
     return [name for name in platform.INSTANCES if reads_store(test_bed, name)]
 
 
 def check_removal(test_bed):
-    platform.wait_until("two instances read for all", lambda: len(readers(test_bed)) == 2)
+    try:
+        platform.wait_until("two instances read for all", lambda: len(readers(test_bed)) == 2)
+    except AssertionError as error:
+        raise AssertionError(f"{error}; reading: {readers(test_bed)}; {reading_lines(test_bed)}")
     survivor = next(name for name in platform.INSTANCES if name not in readers(test_bed))
     killed = [name for name in platform.INSTANCES if name != survivor]
     for name in killed:
