--- a/include/kumquatpath/decision/remote_placement.hpp
+++ b/include/kumquatpath/decision/remote_placement.hpp
@@ -51,12 +51,12 @@
 {
     /// Smoothed natural logarithm of the time that requests take, in milliseconds,
     /// without the round trip.
-    double log_ms = 0;
+    double ln_ms = 0;
     std::uint32_t answers = 0;
     time_point answered_at;
     /// The mean of the same logarithm over requests sent since the last change of the
     /// local limit, and their number.
-    double new_log_ms = 0;
+    double new_ln_ms = 0;
     std::uint32_t new_answers = 0;
     std::uint32_t in_flight = 0;
     /// Of the flows beyond the local limit whose best remote target is in this data
@@ -72,7 +72,7 @@
         data_centres;
     /// The logarithm of the time that requests take without a wait, in milliseconds, as
     /// far as known; unset: not known.
-    std::optional<double> log_idle_ms;
+    std::optional<double> ln_idle_ms;
     /// 0: none is known.
     duration latency_goal{0};
     /// The local flows that may be in flight; the fraction is a probability. Unset: there
--- a/src/decision/remote_placement.cpp
+++ b/src/decision/remote_placement.cpp
@@ -69,12 +69,12 @@
 }
 
 /// Returns the expected time of requests of a service at the targets of \p answers.
-double request_ms(const data_centre_answers& answers, double log_idle_ms, time_point now)
+double request_ms(const data_centre_answers& answers, double ln_idle_ms, time_point now)
 {
     const double age = seconds_of(now - answers.answered_at);
     const double weight =
         answers.answers == 0 ? 0 : std::exp(-age / seconds_of(fading_time));
-    return std::exp(log_idle_ms + weight * (answers.log_ms - log_idle_ms));
+    return std::exp(ln_idle_ms + weight * (answers.ln_ms - ln_idle_ms));
 }
 
 /// Follows the lowest time of requests quickly and a higher one slowly.
@@ -85,7 +85,7 @@
     {
         if (answers.answers >= min_idle_answers)
         {
-            lowest = std::min(lowest, answers.log_ms);
+            lowest = std::min(lowest, answers.ln_ms);
         }
     }
     if (lowest == std::numeric_limits<double>::max())
@@ -93,15 +93,15 @@
         return;
     }
     const double risen =
-        service.log_idle_ms.value_or(lowest) + idle_rise_per_second * seconds_of(step);
-    service.log_idle_ms = std::min(lowest, risen);
+        service.ln_idle_ms.value_or(lowest) + idle_rise_per_second * seconds_of(step);
+    service.ln_idle_ms = std::min(lowest, risen);
 }
 
 /// Returns the shortest wait in milliseconds that matters: what callers notice, or for
 /// short requests the time that they take without a wait.
 double noticed_wait_ms(const service_placement& service)
 {
-    const double idle_ms = std::exp(*service.log_idle_ms);
+    const double idle_ms = std::exp(*service.ln_idle_ms);
     const double noticed_ms = noticed_goal_share * milliseconds_of(service.latency_goal);
     return noticed_ms > 0 ? std::min(noticed_ms, idle_ms) : idle_ms;
 }
@@ -140,7 +140,7 @@
     service.local_limit = limit;
     service.was_limit_reached = false;
     service.limit_effective_at = effective_at;
-    local.new_log_ms = 0;
+    local.new_ln_ms = 0;
     local.new_answers = 0;
 }
 
@@ -182,10 +182,10 @@
 remote_gain update_shares(const remote_placement& placement, service_placement& service,
                           const flow_to_place& flow, duration step, time_point now)
 {
-    const double idle_ms = std::exp(*service.log_idle_ms);
+    const double idle_ms = std::exp(*service.ln_idle_ms);
     const double local_trip_ms = round_trip_ms(placement, flow.local, 0);
     const double local_ms =
-        request_ms(service.data_centres[flow.local], *service.log_idle_ms, now);
+        request_ms(service.data_centres[flow.local], *service.ln_idle_ms, now);
     remote_gain gain{.local_trips_ms = 2 * local_trip_ms,
                      .local_ms = local_ms + 2 * local_trip_ms};
     gain.least_ms = std::max(noticed_wait_ms(service), uncertain_share * gain.local_ms);
@@ -195,7 +195,7 @@
         {
             continue;
         }
-        const double ms = request_ms(answers, *service.log_idle_ms, now);
+        const double ms = request_ms(answers, *service.ln_idle_ms, now);
         const bool has_room = ms - idle_ms < room_wait_factor * noticed_wait_ms(service);
         const double trip_ms = round_trip_ms(placement, id, local_trip_ms);
         const double saved_ms = has_room ? gain.local_ms - (ms + 2 * trip_ms) : -1;
@@ -208,7 +208,7 @@
 /// Returns \p gain for the time of the local flows that started under the limit in force.
 remote_gain gain_under_limit(remote_gain gain, const data_centre_answers& local)
 {
-    const double local_ms = std::exp(local.new_log_ms) + gain.local_trips_ms;
+    const double local_ms = std::exp(local.new_ln_ms) + gain.local_trips_ms;
     gain.best_ms += gain.best_ms < 0 ? 0 : local_ms - gain.local_ms;
     gain.local_ms = local_ms;
     return gain;
@@ -268,21 +268,20 @@
     const double round_trip = round_trip_ms(placement, request.data_centre, 0);
     const double ms =
         std::max(min_request_ms, milliseconds_of(request.time) - round_trip);
-    if (service.log_idle_ms &&
-        is_quick(from_milliseconds(ms),
-                 from_milliseconds(std::exp(*service.log_idle_ms))))
+    if (service.ln_idle_ms &&
+        is_quick(from_milliseconds(ms), from_milliseconds(std::exp(*service.ln_idle_ms))))
     {
         return;
     }
     data_centre_answers& answers = service.data_centres[request.data_centre];
     ++answers.answers;
     const double factor = std::max(answer_smoothing_factor, 1.0 / answers.answers);
-    answers.log_ms += factor * (std::log(ms) - answers.log_ms);
+    answers.ln_ms += factor * (std::log(ms) - answers.ln_ms);
     answers.answered_at = now;
     if (now - request.time >= service.limit_effective_at)
     {
         ++answers.new_answers;
-        answers.new_log_ms += (std::log(ms) - answers.new_log_ms) / answers.new_answers;
+        answers.new_ln_ms += (std::log(ms) - answers.new_ln_ms) / answers.new_answers;
     }
 }
 
@@ -308,7 +307,7 @@
     const duration step = std::min<duration>(now - service.updated_at, max_update_step);
     service.updated_at = now;
     update_idle_time(service, step);
-    if (!service.log_idle_ms)
+    if (!service.ln_idle_ms)
     {
         return;
     }
