Readers: an instance reports its own recent read, so that a third reader ends

Cause: smoke_removed_target failed twice with three readers where two are expected. A heartbeat tells one freshness, the newest that its sender knows, and an instance ignores reports of its own reads. If the reads of a third reader are always the newest by a moment and its heartbeats come first, the two designated readers tell it only of its own reads: it takes the state for stale and goes on reading as long as the phases stay. All five instances of the failed run had started within 2 ms of each other, so their phases were equal. Change: a reader reports its own read while that is at most 1.2 s old (it waits 1 s for changes), else the newest as before. What it reports is older by a second at most, and true.

--- a/include/kumquatpath/decision/fleet_peers.hpp
+++ b/include/kumquatpath/decision/fleet_peers.hpp
@@ -84,6 +84,12 @@
 /// instance lacks changes that they have.
 state_freshness newest_freshness(const fleet_peers& fleet, state_revision position);
 
+/// Returns the freshness that an instance at \p position reports to its peers: by its own
+/// last read while that is recent, otherwise the newest. An instance that passed on only
+/// the newer read of a peer would hide from that peer that others read as well.
+state_freshness freshness_to_report(const fleet_peers& fleet, state_revision position,
+                                    time_point now);
+
 /// The state that an instance has, and the criteria for a peer with newer state.
 struct sync_peer_query
 {
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -42,6 +42,17 @@
     self.fresh_as_of = self.fresh_as_of ? std::max(*self.fresh_as_of, as_of) : as_of;
 }
 
+std::chrono::milliseconds age_of(const state_freshness& freshness, time_point now)
+{
+    if (!freshness.as_of)
+    {
+        return never_read;
+    }
+    const auto age =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - *freshness.as_of);
+    return std::clamp(age, std::chrono::milliseconds(0), never_read);
+}
+
 /// Returns the number of live instances that are not leaving, including this one.
 std::uint32_t count_live_instances(const entry_instance& self, time_point now)
 {
@@ -113,14 +124,7 @@
 
 std::chrono::milliseconds state_age(const entry_instance& self, time_point now)
 {
-    const state_freshness newest = newest_freshness(self.fleet, self.directory.position);
-    if (!newest.as_of)
-    {
-        return never_read;
-    }
-    const auto age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - *newest.as_of);
-    return std::clamp(age, std::chrono::milliseconds(0), never_read);
+    return age_of(newest_freshness(self.fleet, self.directory.position), now);
 }
 
 bool may_exit(const entry_instance& self, time_point now)
@@ -152,14 +156,16 @@
 
 fleet_heartbeat make_heartbeat(const entry_instance& self, time_point now)
 {
+    const state_freshness reported =
+        freshness_to_report(self.fleet, self.directory.position, now);
     return {.incarnation = self.incarnation,
             .address = self.address,
             .data_centre = self.fleet.local_data_centre,
             .is_leaving = self.leaving_since.has_value(),
             .position = self.directory.position,
             .configuration = self.configuration.revision,
-            .age = state_age(self, now),
-            .read_by = newest_freshness(self.fleet, self.directory.position).read_by,
+            .age = age_of(reported, now),
+            .read_by = reported.read_by,
             .members = members_to_advertise(self.fleet,
                                             is_large(self.fleet)
                                                 ? max_members_per_heartbeat_in_large_fleet
--- a/src/decision/fleet_peers.cpp
+++ b/src/decision/fleet_peers.cpp
@@ -32,6 +32,9 @@
 constexpr std::chrono::milliseconds reading_pause_in_large_fleet{700};
 /// How long an instance reads after it has found the state to be stale.
 constexpr duration fallback_reading_time = std::chrono::seconds(3);
+/// An own read counts as recent for this long: somewhat longer than a reader waits for
+/// changes.
+constexpr duration recent_read_age = std::chrono::milliseconds(1200);
 constexpr std::size_t max_peer_candidates = 64;
 /// An instance of a large fleet that knows this many remote peers discovers no more.
 constexpr std::size_t enough_remote_peers = 16;
@@ -130,6 +133,15 @@
     return is_newer(from_peers, fleet.own_freshness) ? from_peers : fleet.own_freshness;
 }
 
+state_freshness freshness_to_report(const fleet_peers& fleet, state_revision position,
+                                    time_point now)
+{
+    const std::optional<time_point>& own_read = fleet.own_freshness.as_of;
+    return own_read && now < *own_read + recent_read_age
+               ? fleet.own_freshness
+               : newest_freshness(fleet, position);
+}
+
 const fleet_peer* find_peer_with_newer_state(const fleet_peers& fleet,
                                              const sync_peer_query& query, time_point now)
 {
