--- a/test/smoke/log_pipe_test.py
+++ b/test/smoke/log_pipe_test.py
@@ -6,7 +6,6 @@
 Usage: log_pipe_test.py BUILD_DIRECTORY
 """
 
-import json
 import os
 import signal
 import subprocess
@@ -16,36 +15,13 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "scripts"))
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from deployment import wait_until_signals_are_handled  # noqa: E402
+from single_instance import (SERVING_SECONDS, STOP_SECONDS, full_pipe,  # noqa: E402
+                             write_settings)
 
 BUILD = sys.argv[1]
 ADDRESS = "127.82.2.4"
-# The platform kills a process that has not ended this long after it was told to stop.
-STOP_SECONDS = 6
-SERVING_SECONDS = 1.5
-
-
-def write_settings(folder):
-    path = os.path.join(folder, "settings.json")
-    with open(path, "w", encoding="utf-8") as file:
-        json.dump({"name": "entry-1", "data_centre": "north", "data": f"{ADDRESS}:7001",
-                   "ready": f"{ADDRESS}:7002", "ready_path": "/ready",
-                   "metrics": f"{ADDRESS}:7003", "peer": f"{ADDRESS}:7004",
-                   "peer_key": "0" * 64, "seeds": [], "state": f"{ADDRESS}:7009",
-                   "interface": "platform"}, file)
-    return path
-
-
-def full_pipe():
-    """Returns both ends of a pipe that holds as many bytes as it can."""
-    reader, writer = os.pipe()
-    os.set_blocking(writer, False)
-    try:
-        while True:
-            os.write(writer, b"\n" * 4096)
-    except BlockingIOError:
-        os.set_blocking(writer, True)
-    return reader, writer
 
 
 def closed_pipe():
@@ -75,7 +51,7 @@
 
 
 with tempfile.TemporaryDirectory() as directory:
-    settings_file = write_settings(directory)
+    settings_file = write_settings(directory, ADDRESS)
     check("full pipe", full_pipe(), settings_file)
     check("closed pipe", closed_pipe(), settings_file)
 print("passed")
--- a/test/smoke/stop_time_test.py
+++ b/test/smoke/stop_time_test.py
@@ -6,7 +6,6 @@
 Usage: stop_time_test.py BUILD_DIRECTORY
 """
 
-import json
 import os
 import signal
 import socket
@@ -17,42 +16,18 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "scripts"))
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 from deployment import wait_until_signals_are_handled  # noqa: E402
+from single_instance import (METRICS_PORT, PEER_PORT, READY_PORT, SERVING_SECONDS,  # noqa: E402
+                             STOP_SECONDS, STORE_PORT, full_pipe, write_settings)
 
 BUILD = sys.argv[1]
 ADDRESS = "127.82.3.4"
-DATA_PORT, READY_PORT, METRICS_PORT, PEER_PORT, STORE_PORT = 7001, 7002, 7003, 7004, 7009
-# The platform kills a process that has not ended this long after it was told to stop.
-STOP_SECONDS = 6
-SERVING_SECONDS = 1.5
 SIGNAL_INTERVAL_SECONDS = 0.5
 POLL_INTERVAL_SECONDS = 0.02
 CONNECTIONS_EACH = 8
 
 
-def write_settings(folder):
-    path = os.path.join(folder, "settings.json")
-    with open(path, "w", encoding="utf-8") as file:
-        json.dump({"name": "entry-1", "data_centre": "north", "data": f"{ADDRESS}:{DATA_PORT}",
-                   "ready": f"{ADDRESS}:{READY_PORT}", "ready_path": "/ready",
-                   "metrics": f"{ADDRESS}:{METRICS_PORT}", "peer": f"{ADDRESS}:{PEER_PORT}",
-                   "peer_key": "0" * 64, "seeds": [], "state": f"{ADDRESS}:{STORE_PORT}",
-                   "interface": "platform"}, file)
-    return path
-
-
-def full_pipe():
-    """Returns both ends of a pipe that holds as many bytes as it can."""
-    reader, writer = os.pipe()
-    os.set_blocking(writer, False)
-    try:
-        while True:
-            os.write(writer, b"\n" * 4096)
-    except BlockingIOError:
-        os.set_blocking(writer, True)
-    return reader, writer
-
-
 def silent_server():
     """Returns a socket whose connections the kernel accepts and nobody answers."""
     server = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -88,7 +63,7 @@
     store = silent_server()
     reader, writer = full_pipe()
     instance = subprocess.Popen([os.path.join(BUILD, "src/daemon/kumquatpathd"),
-                                 write_settings(directory)], stdout=writer)
+                                 write_settings(directory, ADDRESS)], stdout=writer)
     try:
         wait_until_signals_are_handled(instance)
         time.sleep(SERVING_SECONDS)
