Flow steering: rehash detection in a file of its own; must_reset() says what follows

Ruled out: parting the placement of retransmissions as well. Change: rehash_detection, must_reset(); behaviour unchanged. Conclusion: none.

--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -1,5 +1,6 @@
 #include "flow_table.hpp"
 #include "opening_rules.hpp"
+#include "rehash_detection.hpp"
 #include "remote_flows.hpp"
 
 #include <kumquatpath/decision/ended_flows.hpp>
@@ -18,11 +19,6 @@
 constexpr double silence_timeout_factor = 4;
 constexpr duration min_silence_timeout = std::chrono::milliseconds(150);
 constexpr duration max_silence_timeout = std::chrono::seconds(4);
-/// More flows than this that were opened through other instances and arrive here within
-/// rehash_window mean that the fabric is rehashing, that is, redistributing flows among
-/// the instances. An unanswered opening then says nothing about its target.
-constexpr std::uint32_t max_flows_opened_elsewhere = 3;
-constexpr duration rehash_window = std::chrono::milliseconds(500);
 /// An ended flow stays tracked this long for its last packets.
 constexpr duration ended_flow_timeout = std::chrono::seconds(2);
 constexpr duration idle_flow_timeout = std::chrono::seconds(20);
@@ -266,21 +262,6 @@
     }
 }
 
-void record_flow_opened_elsewhere(flow_steering& steering, time_point now)
-{
-    if (now >= steering.rehash_window_start + rehash_window)
-    {
-        steering.rehash_window_start = now;
-        steering.flows_opened_elsewhere = 0;
-    }
-    ++steering.flows_opened_elsewhere;
-    steering.last_opened_elsewhere_at = now;
-    if (steering.flows_opened_elsewhere > max_flows_opened_elsewhere)
-    {
-        steering.last_rehash_at = now;
-    }
-}
-
 /// Returns whether a flow that is not tracked may have been opened here.
 bool may_be_own(const flow_steering& steering, time_point now)
 {
@@ -347,12 +328,6 @@
            policy_of(table, *found, packet.traffic_class).is_repeatable;
 }
 
-bool is_rehashing(const flow_steering& steering, time_point now)
-{
-    return steering.flows_opened_elsewhere > max_flows_opened_elsewhere &&
-           now < steering.rehash_window_start + 2 * rehash_window;
-}
-
 steering_decision steer(flow_steering& steering, const routing_table& table,
                         const target_directory& directory, const flow_packet& packet,
                         time_point now)
@@ -369,7 +344,7 @@
     const auto found = steering.flows.find(packet.flow.value);
     if (found == steering.flows.end())
     {
-        if (!may_be_answered(directory, packet, *token_target, nullptr, now))
+        if (must_reset(directory, packet, *token_target, nullptr, now))
         {
             return {.verdict = steering_verdict::target_ended};
         }
@@ -380,7 +355,7 @@
     tracked_flow& flow = found->second;
     steering_decision decision{.verdict = steering_verdict::forward,
                                .target = target_of(directory, flow, *token_target)};
-    if (!may_be_answered(directory, packet, decision.target, &flow, now))
+    if (must_reset(directory, packet, decision.target, &flow, now))
     {
         return end_flow(steering, directory, flow);
     }
