Target review: peers report, instances doubt

Ruled out: renaming code. Change: comments only. Before and after: decision_test 386 tests pass. Conclusion: none.

--- a/include/kumquatpath/decision/target_stats.hpp
+++ b/include/kumquatpath/decision/target_stats.hpp
@@ -44,7 +44,7 @@
     std::uint32_t overdue_openings = 0;
     /// Too many of the target's answers came too quickly to be real, so it is avoided.
     bool is_failing = false;
-    /// As many peers doubt the target as all new flows heed.
+    /// So many peers report doubts about the target that all new flows avoid it.
     bool is_avoided_by_peer_reports = false;
     target_estimate estimate;
     /// When the newest answered opening was sent.
