--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -36,6 +36,7 @@
 OPENING_COPIES = (0.2, 0.6)
 OPENING_TIMEOUT = 1.4
 HEARTBEAT = 1.2
+QUEUE = 12  # requests that wait at a host for one of its slots
 
 
 class CannotRun(Exception):
@@ -541,6 +542,10 @@
             if len(rest) < length:
                 return
             flow["buffer"] = rest[length:]
+            if len(self.waiting) >= QUEUE:
+                flow["end"].write(b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+                                  b"Content-Length: 0\r\n\r\n")
+                continue
             self.waiting.append((name, flow, head))
         self.start_work()
 
@@ -712,6 +717,9 @@
         length = int(re.search(rb"Content-Length: (\d+)", head).group(1))
         if len(rest) < length:
             return
+        if b"Not-Executed" in head:
+            self.finish("shed")
+            return
         if not rest.startswith(self.current.encode()):
             self.bed.violation("MIXED", f"{self.name} got the answer of another request")
         self.buffer = b""
