--- a/review/common-2/bed.py
+++ b/review/common-2/bed.py
@@ -208,6 +208,7 @@
         self.items, self.events, self.revision = {}, [], 100
         self.changed = asyncio.Condition()
         self.writers, self.silenced, self.used_at = set(), set(), {}
+        self.server = None
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.address, STORE_PORT)
@@ -771,7 +772,7 @@
 
     def free_network(self):
         for _ in range(200):
-            network = random.randint(40, 250)
+            network = random.SystemRandom().randint(40, 250)
             try:
                 for port in (DATA_PORT, PEER_PORT):
                     probe = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -779,7 +780,8 @@
                     probe.close()
                 for port in (STORE_PORT, READY_PORT, 9102):
                     probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                    probe.bind((f"127.{network}.1.1", port))
+                    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                    probe.bind((f"127.{network}.1.200", port))
                     probe.close()
                 return network
             except OSError:
@@ -858,7 +860,7 @@
             "version": version, "routes": routes,
             "services": [{"name": each, "healthPath": "/health", "maxConns": 2000}
                          for each in services],
-            "limits": {"idleTimeoutMs": 20000}})
+            "limits": {"idleTimeoutMs": 15000}})
         self.note(f"configuration {version} acknowledged at revision {revision}")
         return now()
 
@@ -927,7 +929,7 @@
                 each.process.wait()
         for task in list(self.tasks):
             task.cancel()
-        if hasattr(self, "store"):
+        if hasattr(self, "store") and self.store.server is not None:
             self.store.server.close()
             for writer in self.store.writers | self.store.silenced:
                 writer.transport.abort()
