Address claims: a target of a service that is not named replaces no other one

Cause: claim_address() took every later announcement at an address for proof that the target there had ended, also one of a service that no configuration names, which anyone may have written. must_reset() needs no second sign for that.

Ruled out: refusing such entries where the store is read. A target may announce itself before the configuration that names its service and does not write again, and flows outlive the service's place in the configuration.

Change: claims are a module of their own (address_claims). Only a target whose service the configuration in force names replaces another one or takes over its address; a configuration that names a service lets its targets claim.

The fixtures of ended_target and missing_target now name their two services; no check there changed.

An entry that is usable in every field is still believed.

--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -14,6 +14,7 @@
 /// directory lacks is therefore outdated, even if the departure that followed it is
 /// forgotten.
 
+#include <kumquatpath/model/routing_table.hpp>
 #include <kumquatpath/model/target_record.hpp>
 #include <kumquatpath/model/time.hpp>
 
@@ -114,6 +115,9 @@
     /// The target that was announced last at each address, as far as known, by the packed
     /// endpoint; only if addresses are exclusive.
     boost::unordered_flat_map<std::uint64_t, target_index> by_address;
+    /// The services that the configuration in force names. A target of another service
+    /// may come from anyone: it ends no other target.
+    service_set named_services;
     /// By target key; only for targets that are not in the directory.
     boost::unordered_flat_map<std::uint64_t, target_tombstone> tombstones;
     /// Each target is held as it was in the store at this position or later.
--- a/include/kumquatpath/model/routing_table.hpp
+++ b/include/kumquatpath/model/routing_table.hpp
@@ -9,6 +9,7 @@
 #include <kumquatpath/model/target_record.hpp>
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <boost/unordered/unordered_flat_set.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -70,6 +71,8 @@
     std::optional<traffic_policy> policy;
 };
 
+using service_set = boost::unordered_flat_set<service_id, std::hash<service_id>>;
+
 /// The routes and limits of one configuration.
 struct routing_table
 {
@@ -77,6 +80,8 @@
     kumquatpath::generation generation;
     /// The routes, by the packed address of the listener; see pack().
     boost::unordered_flat_map<std::uint64_t, route> routes;
+    /// The services that the configuration names, whether or not a route leads to them.
+    service_set services;
     /// Limits on new flows per second over the whole fleet, by the tenant and class
     /// numbers that packets carry; 0 means no limit.
     boost::unordered_flat_map<std::uint16_t, std::uint32_t> tenant_limits;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -1,5 +1,7 @@
 #include "metrics.hpp"
 
+#include <kumquatpath/decision/address_claims.hpp>
+
 #include <sstream>
 
 namespace kumquatpath
@@ -339,6 +341,8 @@
     write_metric(out, "whole_replies_received", metrics.whole_replies_received);
     write_metric(out, "updates_incomplete", metrics.updates_incomplete);
     write_metric(out, "targets_refused", self.directory.refused_targets);
+    write_metric(out, "targets_of_unnamed_services",
+                 count_targets_of_unnamed_services(self.directory));
     write_metric(out, "log_lines_held_back", metrics.log_lines_held_back);
     write_dropped_messages(out, metrics.messages_dropped);
     write_metric(out, "flows_remembered", self.steering.flows.size());
--- a/src/daemon/packet_worker.hpp
+++ b/src/daemon/packet_worker.hpp
@@ -188,6 +188,8 @@
     /// Logs, at most once a second, how many targets warm up if that has changed, and
     /// once that an announced warm-up was too long.
     void log_warm_ups(time_point now);
+    /// Logs a changed number of targets whose service the configuration does not name.
+    void log_unnamed_services(time_point now);
     /// Updates the traffic of the other workers in the metrics.
     void count_control_traffic();
     /// Logs the control traffic so far at intervals.
@@ -217,8 +219,10 @@
     instance_metrics metrics_;
     std::vector<std::byte> output_buffer_;
     time_point next_warm_up_log_at_;
+    time_point next_unnamed_service_log_at_;
     /// The number of targets in warm-up as it was last logged.
     std::size_t logged_cold_targets_ = 0;
+    std::size_t logged_unnamed_service_targets_ = 0;
     bool is_shortened_warm_up_logged_ = false;
     /// Indexed like the targets of the directory.
     std::vector<logged_target_state> logged_target_states_;
--- a/src/daemon/packet_worker_targets.cpp
+++ b/src/daemon/packet_worker_targets.cpp
@@ -1,5 +1,6 @@
 #include "packet_worker.hpp"
 
+#include <kumquatpath/decision/address_claims.hpp>
 #include <kumquatpath/edge/log.hpp>
 
 namespace kumquatpath
@@ -36,6 +37,7 @@
 constexpr duration waiting_log_interval = std::chrono::seconds(1);
 /// The targets of a data centre may start together, so their warm-ups share a line.
 constexpr duration warm_up_log_interval = std::chrono::seconds(1);
+constexpr duration unnamed_service_log_interval = std::chrono::seconds(1);
 
 } // namespace
 
@@ -80,6 +82,26 @@
         }
     }
     log_warm_ups(now);
+    log_unnamed_services(now);
+}
+
+void packet_worker::log_unnamed_services(time_point now)
+{
+    if (now < next_unnamed_service_log_at_)
+    {
+        return;
+    }
+    next_unnamed_service_log_at_ = now + unnamed_service_log_interval;
+    const std::size_t targets = self_.configuration.table
+                                    ? count_targets_of_unnamed_services(self_.directory)
+                                    : 0;
+    if (targets != logged_unnamed_service_targets_)
+    {
+        logged_unnamed_service_targets_ = targets;
+        log(log_level::warning, "target_service_unnamed",
+            {{"targets", targets},
+             {"generation", self_.configuration.table->generation.value}});
+    }
 }
 
 void packet_worker::log_warm_ups(time_point now)
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -1,3 +1,4 @@
+#include <kumquatpath/decision/address_claims.hpp>
 #include <kumquatpath/decision/cut_off.hpp>
 #include <kumquatpath/decision/entry_instance.hpp>
 #include <kumquatpath/decision/warm_up_allowance.hpp>
@@ -230,6 +231,7 @@
         return false;
     }
     self.configuration = configuration;
+    name_services(self.directory, configuration.table->services);
     return true;
 }
 
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -1,3 +1,4 @@
+#include <kumquatpath/decision/address_claims.hpp>
 #include <kumquatpath/decision/target_directory.hpp>
 
 #include <algorithm>
@@ -57,51 +58,6 @@
     }
 }
 
-/// Returns whether \p later was certainly announced after \p earlier.
-bool is_announced_after(const known_target& later, const known_target& earlier)
-{
-    return !later.is_announcement_older &&
-           later.announced_revision > earlier.announced_revision;
-}
-
-/// Registers the address of the target at \p index. Of two targets at one address, the
-/// one that was certainly announced first has ended.
-void claim_address(target_directory& directory, target_index index)
-{
-    if (!directory.has_exclusive_addresses)
-    {
-        return;
-    }
-    known_target& target = directory.targets[index];
-    const auto holder =
-        directory.by_address.try_emplace(pack(target.record.address), index).first;
-    if (holder->second == index)
-    {
-        target.is_replaced = false;
-        return;
-    }
-    known_target& last = directory.targets[holder->second];
-    target.is_replaced = is_announced_after(last, target);
-    last.is_replaced = last.is_replaced || is_announced_after(target, last);
-    const bool is_better_known =
-        last.is_announcement_older && !target.is_announcement_older;
-    if (is_announced_after(target, last) || is_better_known)
-    {
-        holder->second = index;
-    }
-}
-
-/// Releases the address of the target at \p index if that was announced last there.
-void release_address(target_directory& directory, target_index index)
-{
-    const auto holder =
-        directory.by_address.find(pack(directory.targets[index].record.address));
-    if (holder != directory.by_address.end() && holder->second == index)
-    {
-        directory.by_address.erase(holder);
-    }
-}
-
 /// Marks \p target, which was just added, gone since \p revision. Its announcement was
 /// never in force here, so it takes no new flows. It may have expired in an outage that
 /// ended just before.
--- a/src/model/configured_state.cpp
+++ b/src/model/configured_state.cpp
@@ -63,6 +63,7 @@
     }
     for (const service& each : config.services)
     {
+        table.services.insert(each.id);
         const warm_up_policy policy{.duration = each.warm_up,
                                     .flows_per_second =
                                         double(each.warm_up_requests_per_second)};
--- a/test/decision/ended_target_fixture.hpp
+++ b/test/decision/ended_target_fixture.hpp
@@ -6,6 +6,8 @@
 
 #include "entry_fixture.hpp"
 
+#include <kumquatpath/decision/address_claims.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 namespace kumquatpath::test
@@ -21,12 +23,20 @@
     return change;
 }
 
+/// Returns an empty directory with exclusive addresses and the services web and store.
+inline target_directory exclusive_directory()
+{
+    target_directory directory{.has_exclusive_addresses = true};
+    name_services(directory, {web, store});
+    return directory;
+}
+
 /// An instance that knows target 1 of web, and the flows that are opened there.
 struct ended_target_fixture : Utest
 {
     time_point now{std::chrono::seconds(100)};
     routing_table table = web_table();
-    target_directory directory{.has_exclusive_addresses = true};
+    target_directory directory = exclusive_directory();
     flow_steering steering;
 
     ended_target_fixture()
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -62,7 +62,7 @@
 
 TEST(ended_target, is_told_by_revisions_whatever_the_order_of_arrival)
 {
-    target_directory late{.has_exclusive_addresses = true};
+    target_directory late = exclusive_directory();
     apply_change(late, announcement_at_address_of(1, 2, 20), now);
     apply_change(late, announcement(1, 10), now);
     CHECK_TRUE(late.targets[late.by_key.at(1)].is_replaced);
@@ -133,7 +133,7 @@
     apply_change(directory, announcement_at_address_of(1, 2, 20), now);
     apply_change(directory, departure(1, 30), now);
     directory.position = {30};
-    target_directory late{.has_exclusive_addresses = true};
+    target_directory late = exclusive_directory();
     apply_update(late, update_since(directory, {}), now);
     CHECK_FALSE(late.targets[late.by_key.at(2)].is_replaced);
 }
@@ -148,7 +148,7 @@
     std::vector<std::size_t> order{0, 1, 2, 3};
     do
     {
-        target_directory any{.has_exclusive_addresses = true};
+        target_directory any = exclusive_directory();
         for (const std::size_t each : order)
         {
             apply_change(any, changes[each], now);
@@ -165,7 +165,7 @@
     gone.is_gone = true;
     target_change next = announcement_at_address_of(1, 2, 20);
     next.record->service = web;
-    target_directory late{.has_exclusive_addresses = true};
+    target_directory late = exclusive_directory();
     apply_change(late, gone, now);
     apply_change(late, next, now);
     const steering_decision placed = steer(steering, table, late, opening(1000), now);
@@ -177,11 +177,11 @@
 {
     target_change gone = announcement(1, 30);
     gone.is_gone = true;
-    target_directory late{.has_exclusive_addresses = true};
+    target_directory late = exclusive_directory();
     apply_change(late, gone, now);
     apply_change(late, announcement_at_address_of(1, 2, 40), now);
     CHECK_TRUE(late.targets[late.by_key.at(1)].is_replaced);
-    target_directory reversed{.has_exclusive_addresses = true};
+    target_directory reversed = exclusive_directory();
     apply_change(reversed, announcement_at_address_of(1, 2, 40), now);
     apply_change(reversed, gone, now);
     CHECK_TRUE(reversed.targets[reversed.by_key.at(1)].is_replaced);
@@ -191,7 +191,7 @@
 {
     target_change gone = announcement(1, 30);
     gone.is_gone = true;
-    target_directory late{.has_exclusive_addresses = true};
+    target_directory late = exclusive_directory();
     apply_change(late, gone, now);
     apply_change(late, announcement_at_address_of(1, 2, 20), now);
     apply_change(late, announcement_at_address_of(1, 3, 25), now);
@@ -208,7 +208,7 @@
     std::vector<std::size_t> order{0, 1, 2};
     do
     {
-        target_directory any{.has_exclusive_addresses = true};
+        target_directory any = exclusive_directory();
         for (const std::size_t each : order)
         {
             apply_change(any, changes[each], now);
--- a/test/decision/entry_fixture.hpp
+++ b/test/decision/entry_fixture.hpp
@@ -43,6 +43,7 @@
     routing_table table;
     table.routes.emplace(pack(web_listener),
                          route{.name = "web", .services = {{.service = web}}});
+    table.services = {web, store};
     return table;
 }
 
--- a/test/decision/missing_target_test.cpp
+++ b/test/decision/missing_target_test.cpp
@@ -113,7 +113,7 @@
 {
     target_change gone = announcement(1, 30);
     gone.is_gone = true;
-    target_directory late{.has_exclusive_addresses = true};
+    target_directory late = exclusive_directory();
     apply_change(late, gone, now);
     const auto verdict = [&]
     {
--- a/test/platform/state_records_test.cpp
+++ b/test/platform/state_records_test.cpp
@@ -115,6 +115,18 @@
     DOUBLES_EQUAL(8, warm_up.flows_per_second, 0);
 }
 
+TEST(state_records, a_configuration_names_the_services_of_its_routes_and_of_its_list)
+{
+    const auto table = parse_platform_configuration(
+        R"({"version":7,"routes":[{"name":"a","host":"198.18.0.1","prefix":"/8443/",)"
+        R"("backends":[{"service":"x","weight":90},{"service":"y","weight":10}]}],)"
+        R"("services":[{"name":"y"},{"name":"z"},{"name":7},8]})");
+    CHECK_TRUE(static_cast<bool>(table));
+    CHECK_TRUE(
+        ((*table)->services == service_set{id_of<service_id>("x"), id_of<service_id>("y"),
+                                           id_of<service_id>("z")}));
+}
+
 TEST(state_records, a_configuration_with_an_invalid_part_is_rejected_as_a_whole)
 {
     for (
