--- a/test/platform/state_records_test.cpp
+++ b/test/platform/state_records_test.cpp
@@ -52,7 +52,7 @@
 TEST(state_records, an_entry_with_a_missing_or_mistyped_field_is_rejected)
 {
     for (const char* const field : {"service", "address", "zone", "maxConcurrency",
-                                    "state", "warmupLeftMs", "sequence"})
+                                    "version", "state", "warmupLeftMs", "sequence"})
     {
         CHECK_FALSE(is_usable(with_replacement(host_entry, field, "other")));
     }
@@ -63,6 +63,8 @@
     CHECK_FALSE(is_usable(
         with_replacement(host_entry, R"("maxConcurrency":3)", R"("maxConcurrency":-3)")));
     CHECK_FALSE(is_usable(with_replacement(host_entry, R"("born":17)", R"("born":1.5)")));
+    CHECK_FALSE(
+        is_usable(with_replacement(host_entry, R"("version":"v1")", R"("version":1)")));
     CHECK_FALSE(is_usable(with_replacement(host_entry, "10.128.0.9:8080", "10.128.0.9")));
     CHECK_FALSE(is_usable(with_replacement(host_entry, "\"ready\"", "\"resting\"")));
 }
