HTTP client: an idle connection that may have gone silent is not used again

Cause: two waits that follow each other. An instance notices after 1.7 to 2.0 s that nobody reads the store; its first call then goes out on the connection of its first read, which went silent while it was idle, and ends by its timeout 1.9 s later. Evidence: state_source_lost (unreachable) on each instance that took over, 1.9 s after reading_started; PART=kill and PART=silence alone break nothing.

Ruled out: shorter call timeouts (a slow store would look lost), TCP keep-alive (what is silent may still acknowledge segments), a second connection beside each call (doubles the calls, which are priced). Peers: each request has a connection of its own, so none is idle.

Change: http_client closes a connection that had no call for 1 s before the next call. A reader calls more often.

A connection that goes silent while it is in use still takes 1.9 s to notice.

--- a/include/kumquatpath/edge/http_client.hpp
+++ b/include/kumquatpath/edge/http_client.hpp
@@ -59,8 +59,15 @@
     no_response,
 };
 
+/// A connection without a call for this long is closed before the next call. An idle
+/// connection may have gone silent without a reset, which only the end of a whole call
+/// would show; a new connection costs one round trip. Longer than the pauses of a client
+/// that calls all the time.
+inline constexpr std::chrono::milliseconds max_idle_connection_time{1000};
+
 /// A client of one server. It keeps one connection open between calls and reconnects when
-/// that connection has failed. Not thread-safe, except for cancel() and total_traffic().
+/// that connection has failed or was idle for max_idle_connection_time. Not thread-safe,
+/// except for cancel() and total_traffic().
 class http_client
 {
 public:
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -1,3 +1,4 @@
+#include <kumquatpath/edge/clock.hpp>
 #include <kumquatpath/edge/http_client.hpp>
 #include <kumquatpath/edge/tcp_endpoint.hpp>
 
@@ -51,6 +52,8 @@
     beast::flat_buffer buffer;
     /// Whether a complete response was received on this connection.
     bool has_served_call = false;
+    /// The end of the last call.
+    time_point idle_since;
 
     /// Returns whether bytes arrived that belong to no call, such as a second copy of the
     /// last response. The next response could not be told from them.
@@ -59,6 +62,11 @@
         boost::system::error_code failure;
         return buffer.size() > 0 || stream.socket().available(failure) > 0;
     }
+
+    bool may_be_silent(time_point now) const
+    {
+        return now >= idle_since + max_idle_connection_time;
+    }
 };
 
 http_client::http_client(const endpoint& server) : server_(server) {}
@@ -93,6 +101,7 @@
 bool http_client::connect(std::chrono::milliseconds timeout)
 {
     connection_ = std::make_unique<connection>(context_);
+    connection_->idle_since = monotonic_now();
     std::optional<beast::error_code> outcome;
     connection_->stream.expires_after(timeout);
     connection_->stream.async_connect(to_tcp_endpoint(server_),
@@ -109,7 +118,8 @@
 
 boost::leaf::result<http_response> http_client::call_once(const http_request& request)
 {
-    if (connection_ && connection_->has_unexpected_bytes())
+    if (connection_ && (connection_->has_unexpected_bytes() ||
+                        connection_->may_be_silent(monotonic_now())))
     {
         connection_.reset();
     }
@@ -153,6 +163,7 @@
         return boost::leaf::new_error(http_failure::no_response);
     }
     connection_->has_served_call = true;
+    connection_->idle_since = monotonic_now();
     http_response response{.status = parser.get().result_int(),
                            .body = std::move(parser.get().body())};
     if (!parser.get().keep_alive())
--- a/test/edge/http_client_test.cpp
+++ b/test/edge/http_client_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Tests of the HTTP client against a server that misuses a connection.
 
+#include <kumquatpath/edge/clock.hpp>
 #include <kumquatpath/edge/http_client.hpp>
 
 #include <support/canned_server.hpp>
@@ -49,6 +50,35 @@
     server.join();
 }
 
+// Something between the ends forgets an idle connection and drops its packets from then
+// on. The next call used to wait for its whole timeout.
+TEST(http_client, a_connection_that_went_silent_while_it_was_idle_is_not_used_again)
+{
+    canned_server server(
+        {{http_response_text(200, "first")}, {http_response_text(200, "second")}},
+        after_last_response::stay_silent);
+    http_client client(server.address());
+    STRCMP_EQUAL("first", body_of(client).c_str());
+    std::this_thread::sleep_for(max_idle_connection_time);
+    const time_point started = monotonic_now();
+    STRCMP_EQUAL("second", body_of(client).c_str());
+    CHECK_TRUE(monotonic_now() - started < 500ms);
+    server.join();
+}
+
+TEST(http_client, a_connection_that_is_used_all_the_time_is_kept)
+{
+    const std::string response = http_response_text(200, "body");
+    canned_server server({{response, response, response}});
+    http_client client(server.address());
+    for (int i = 0; i < 3; ++i)
+    {
+        STRCMP_EQUAL("body", body_of(client).c_str());
+        std::this_thread::sleep_for(max_idle_connection_time * 2 / 3);
+    }
+    server.join();
+}
+
 TEST(http_client, counts_the_bytes_of_requests_and_responses)
 {
     const std::string response = http_response_text(200, "body");
--- a/test/support/canned_server.hpp
+++ b/test/support/canned_server.hpp
@@ -30,12 +30,22 @@
            " X\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+/// What a canned_server does with a connection after its last response.
+enum class after_last_response : std::uint8_t
+{
+    close,
+    /// Keeps it open and sends nothing more, not even a reset.
+    stay_silent,
+};
+
 /// Accepts one connection for each element, one after the other, on its own thread.
 class canned_server
 {
 public:
-    explicit canned_server(std::vector<canned_connection> connections)
-        : acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
+    explicit canned_server(std::vector<canned_connection> connections,
+                           after_last_response ending = after_last_response::close)
+        : ending_(ending),
+          acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
           thread_([this, connections = std::move(connections)] { serve(connections); })
     {
     }
@@ -71,10 +81,16 @@
                 requests.push_back(request.substr(0, request.find(" HTTP")));
                 boost::asio::write(socket, boost::asio::buffer(response), error);
             }
+            if (ending_ == after_last_response::stay_silent)
+            {
+                silent_.push_back(std::move(socket));
+            }
         }
     }
 
+    after_last_response ending_;
     boost::asio::io_context context_;
+    std::vector<boost::asio::ip::tcp::socket> silent_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::jthread thread_;
 };
