Daemon: names its build, so that an old program is told from a fault of the sources

Its run.sh starts whatever is in target/ and builds nothing, and neither logs nor metrics told which sources a program was built from.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -6,6 +6,7 @@
 
 #include "daemon.hpp"
 
+#include <kumquatpath/build_id.hpp>
 #include <kumquatpath/edge/log.hpp>
 #include <kumquatpath/edge/native_packet_format.hpp>
 
@@ -44,7 +45,7 @@
         "kumquatpathd: one entry instance of the kumquatpath load "
         "balancer. SIGTERM stops it gracefully; SIGHUP reloads the "
         "settings, of which only the seeds take effect without a restart.",
-        ' ', "0.1");
+        ' ', "0.1, build " + std::string(build_id));
     const char* const environment_path = std::getenv(settings_file_variable);
     TCLAP::UnlabeledValueArg<std::string> file(
         "settings",
@@ -119,7 +120,8 @@
                     {.packets = *packets,
                      .state = state,
                      .parse_configuration = platform::configuration_parser_for(origin)});
-    log(log_level::info, "started", {{"data_centre", settings.data_centre}});
+    log(log_level::info, "started",
+        {{"data_centre", settings.data_centre}, {"build", build_id}});
     instance.run();
     log(log_level::info, "stopped");
     if (!logs.close(max_log_wait))
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -1,5 +1,6 @@
 #include "metrics.hpp"
 
+#include <kumquatpath/build_id.hpp>
 #include <kumquatpath/decision/address_claims.hpp>
 
 #include <sstream>
@@ -340,6 +341,7 @@
     write_metric(out, "whole_replies_sent", metrics.whole_replies_sent);
     write_metric(out, "whole_replies_received", metrics.whole_replies_received);
     write_metric(out, "updates_incomplete", metrics.updates_incomplete);
+    out << "kumquatpath_build{id=\"" << build_id << "\"} 1\n";
     write_metric(out, "targets_refused", self.directory.refused_targets);
     write_metric(out, "targets_unusable", count_unusable_targets(self.directory));
     write_metric(out, "targets_of_unnamed_services",
