--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -107,6 +107,26 @@
     CHECK_FALSE(state->configuration.has_value());
 }
 
+// A key at the end of a page that has a meaning in a query, such as "&", used to end the
+// listing there, each time.
+TEST(store_client, a_listing_goes_on_after_any_key)
+{
+    canned_server server(
+        {{http_response_text(200, R"({"items":[)" +
+                                      item_json("servers/a b&c=%\\n", "odd", 5) +
+                                      R"(],"hasMore":true,"at":9})"),
+          http_response_text(200, R"({"items":[)" +
+                                      item_json("servers/i-b", host_entry, 6) +
+                                      R"(],"hasMore":false,"at":9})")}});
+    store_client client(server.address());
+    const auto state = client.read_all();
+    CHECK_TRUE(static_cast<bool>(state));
+    server.join();
+    UNSIGNED_LONGS_EQUAL(1, state->update.targets.size());
+    STRCMP_EQUAL("GET /v1/kv-range?prefix=&after=servers/a%20b%26c%3D%25%0A",
+                 server.requests.at(1).c_str());
+}
+
 TEST(store_client, an_evacuation_of_a_zone_is_read_and_its_deletion_withdraws_it)
 {
     canned_server server({{http_response_text(
