--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -127,6 +127,50 @@
                  server.requests.at(1).c_str());
 }
 
+// Entries that other writers may leave among those of the hosts.
+TEST(store_client, an_odd_entry_is_unusable_and_the_others_hold)
+{
+    constexpr std::size_t levels = 100'000;
+    const auto with = [](const std::string& field, const std::string& value)
+    {
+        const std::size_t start = host_entry.find(field) + field.size();
+        const std::size_t end = host_entry.find_first_of(",}", start);
+        return host_entry.substr(0, start) + value + host_entry.substr(end);
+    };
+    std::string nested_objects;
+    for (std::size_t i = 0; i < levels; ++i)
+    {
+        nested_objects += R"({"a":)";
+    }
+    for (const std::string& odd :
+         {std::string(levels, '['), std::string(levels, '[') + std::string(levels, ']'),
+          nested_objects, with(R"("zone":)", std::string(levels, '[')),
+          with(R"("maxConcurrency":)", "1e999"),
+          with(R"("maxConcurrency":)", "4294967295"),
+          with(R"("maxConcurrency":)", std::string(400, '9')),
+          with(R"("warmupLeftMs":)", "18446744073709551616"),
+          with(R"("warmupLeftMs":)", "-1"), with(R"("sequence":)", "1e400"),
+          with(R"("sequence":)", "18446744073709551616"),
+          with(R"("address":)", R"("10.0.0.1:70000")"),
+          with(R"("address":)", R"("10.0.0.1:0")"),
+          with(R"("address":)", R"("10.0.0.1:-1")"),
+          with(R"("address":)", R"("10.0.0.1:99999999999999999999")"),
+          with(R"("address":)", R"("10.0.0.256:80")"), std::string(1000, '\0')})
+    {
+        canned_server server(
+            {{http_response_text(200, R"({"items":[)" + item_json("servers/i-a", odd, 5) +
+                                          "," + item_json("servers/i-b", host_entry, 6) +
+                                          R"(],"hasMore":false,"at":9})")}});
+        store_client client(server.address());
+        const auto state = client.read_all();
+        CHECK_TRUE_TEXT(static_cast<bool>(state), odd.substr(0, 200).c_str());
+        server.join();
+        UNSIGNED_LONGS_EQUAL(2, state->update.targets.size());
+        CHECK_TRUE_TEXT(state->update.targets[0].is_unusable, odd.substr(0, 200).c_str());
+        CHECK_FALSE(state->update.targets[1].is_gone);
+    }
+}
+
 TEST(store_client, an_evacuation_of_a_zone_is_read_and_its_deletion_withdraws_it)
 {
     canned_server server({{http_response_text(
