Ended flows: a missing and silent target ends flows of repeatable requests only

Cause: 'announcement missing' and 'payload sent again' are the signs of a target that has ended and of one that has lost the store and is busy. No input tells them apart.

Ruled out: waiting longer (a request may take seconds); a second retransmission (a busy target leaves that unanswered too); a probe (a frozen target answers none). A reset gains these callers nothing: they may not repeat the request.

Change: rule 2 asks is_repeatable(). Rule 1 (the next target at the address) is sure and stays for all. The fixture's route is repeatable now, as rule 2 needs it; no check of the earlier tests changed.

--- a/src/decision/ended_flows.cpp
+++ b/src/decision/ended_flows.cpp
@@ -27,8 +27,9 @@
 
 } // namespace
 
-bool must_reset(const target_directory& directory, const flow_packet& packet,
-                target_index target, const tracked_flow* flow, time_point now)
+bool must_reset(const target_directory& directory, const routing_table& table,
+                const flow_packet& packet, target_index target, const tracked_flow* flow,
+                time_point now)
 {
     if (!directory.has_exclusive_addresses || packet.is_end)
     {
@@ -37,7 +38,8 @@
     const known_target& known = directory.targets[target];
     const bool is_unanswered = flow != nullptr && flow->key == known.record.key &&
                                is_retransmission(*flow, packet, now);
-    return known.is_replaced || (is_unanswered && is_missing(directory, known, now));
+    return known.is_replaced || (is_unanswered && is_missing(directory, known, now) &&
+                                 is_repeatable(table, packet));
 }
 
 void record_payload(tracked_flow& flow, const flow_packet& packet, time_point now)
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -344,7 +344,7 @@
     const auto found = steering.flows.find(packet.flow.value);
     if (found == steering.flows.end())
     {
-        if (must_reset(directory, packet, *token_target, nullptr, now))
+        if (must_reset(directory, table, packet, *token_target, nullptr, now))
         {
             return {.verdict = steering_verdict::target_ended};
         }
@@ -355,7 +355,7 @@
     tracked_flow& flow = found->second;
     steering_decision decision{.verdict = steering_verdict::forward,
                                .target = target_of(directory, flow, *token_target)};
-    if (must_reset(directory, packet, decision.target, &flow, now))
+    if (must_reset(directory, table, packet, decision.target, &flow, now))
     {
         return end_flow(steering, directory, flow);
     }
--- a/test/decision/ended_target_fixture.hpp
+++ b/test/decision/ended_target_fixture.hpp
@@ -31,11 +31,19 @@
     return directory;
 }
 
+/// Returns web_table() with repeatable requests.
+inline routing_table repeatable_web_table()
+{
+    routing_table table = web_table();
+    table.routes.at(pack(web_listener)).policy = {{.is_repeatable = true}};
+    return table;
+}
+
 /// An instance that knows target 1 of web, and the flows that are opened there.
 struct ended_target_fixture : Utest
 {
     time_point now{std::chrono::seconds(100)};
-    routing_table table = web_table();
+    routing_table table = repeatable_web_table();
     target_directory directory = exclusive_directory();
     flow_steering steering;
 
