Peers: configurations travel compressed between instances

Cause: a configuration of 0.9 MB over a link of 10 Mbit/s takes about a second, up to six transfers share the link of the instance that serves them, and a transfer ends after 1.5 s with nothing kept. So instances that hear by peers alone stayed behind, turned to the store, and had the same trouble there.

Ruled out: longer limits alone (six transfers that share a link all end late); a plan of who serves whom, and sending only differences (weighed in docs/design/shared-state.md).

Change: a request says that it accepts a compressed text, the reply's text is compressed with zlib, once for each configuration.

--- a/include/kumquatpath/model/fleet_message.hpp
+++ b/include/kumquatpath/model/fleet_message.hpp
@@ -84,6 +84,8 @@
 {
     state_revision position;
     state_revision configuration;
+    /// The sender can read a compressed configuration.
+    bool accepts_compressed_text = false;
 };
 
 /// The reply to a state_request.
@@ -93,6 +95,8 @@
     state_revision configuration;
     /// Empty if the requesting instance already has this configuration.
     std::string configuration_text;
+    /// The text is in the format of compress(). Only if the request accepts that.
+    bool is_text_compressed = false;
 };
 
 /// A message between instances.
--- a/src/daemon/packet_worker_peers.cpp
+++ b/src/daemon/packet_worker_peers.cpp
@@ -218,7 +218,8 @@
         outputs_.query_peer({.peer = peer->address,
                              .instance = peer->instance,
                              .request = {.position = self_.directory.position,
-                                         .configuration = self_.configuration.revision}});
+                                         .configuration = self_.configuration.revision,
+                                         .accepts_compressed_text = true}});
     if (is_queued)
     {
         query_pending_until_ = now + max_query_time;
--- a/src/daemon/state_transfer.cpp
+++ b/src/daemon/state_transfer.cpp
@@ -2,6 +2,7 @@
 
 #include "unexpected_error.hpp"
 
+#include <kumquatpath/edge/compression.hpp>
 #include <kumquatpath/edge/fleet_codec.hpp>
 #include <kumquatpath/edge/log.hpp>
 #include <kumquatpath/edge/tcp_endpoint.hpp>
@@ -14,6 +15,7 @@
 #include <boost/endian/conversion.hpp>
 
 #include <array>
+#include <optional>
 
 namespace kumquatpath
 {
@@ -28,6 +30,8 @@
 constexpr std::size_t max_sessions = 6;
 constexpr auto session_timeout = std::chrono::milliseconds(1500);
 constexpr std::size_t length_prefix_bytes = 4;
+/// The longest text of a configuration that a peer may send.
+constexpr std::size_t max_text_bytes = max_fleet_frame_bytes;
 
 /// Returns a frame with the length of \p message and \p message itself.
 std::vector<std::byte> with_length_prefix(const std::vector<std::byte>& message)
@@ -39,6 +43,14 @@
     return frame;
 }
 
+/// Returns the text of the configuration in \p reply, or nothing if it can't be
+/// decompressed.
+std::optional<std::string> text_of(const state_reply& reply)
+{
+    return reply.is_text_compressed ? decompress(reply.configuration_text, max_text_bytes)
+                                    : std::optional(reply.configuration_text);
+}
+
 } // namespace
 
 /// One connection, which carries one frame in each direction. It is closed after
@@ -196,13 +208,19 @@
         log(log_level::warning, "peer_request_refused", {{"bytes", message.size()}});
         return;
     }
-    const auto send = [this, connection](const state_reply& reply)
+    const auto send =
+        [this, connection,
+         is_compressed = request->accepts_compressed_text](const state_reply& reply)
     {
         asio::post(context_,
-                   [this, connection, reply]
+                   [this, connection, is_compressed, reply = state_reply(reply)]() mutable
                    {
+                       if (is_compressed)
+                       {
+                           compress_configuration(reply);
+                       }
                        const fleet_message reply_message{.sender = options_.self,
-                                                         .body = reply};
+                                                         .body = std::move(reply)};
                        connection->write(
                            encode_fleet_message(reply_message, options_.key), [] {});
                    });
@@ -210,6 +228,24 @@
     send_message_(peer_state_request{.request = *request, .respond = send});
 }
 
+void state_transfer::compress_configuration(state_reply& reply)
+{
+    if (reply.configuration_text.empty())
+    {
+        return;
+    }
+    if (compressed_configuration_ != reply.configuration || compressed_text_.empty())
+    {
+        compressed_configuration_ = reply.configuration;
+        compressed_text_ = compress(reply.configuration_text).value_or("");
+    }
+    if (!compressed_text_.empty())
+    {
+        reply.configuration_text = compressed_text_;
+        reply.is_text_compressed = true;
+    }
+}
+
 void state_transfer::query_peer(const peer_query& query)
 {
     const auto connection = std::make_shared<session>(*this, tcp::socket(context_));
@@ -246,13 +282,17 @@
 {
     const auto read = decode_fleet_message(message, options_.key, max_fleet_frame_bytes);
     const auto* const reply = read ? std::get_if<state_reply>(&read->body) : nullptr;
-    if (reply == nullptr)
+    const std::optional<std::string> text =
+        reply == nullptr ? std::nullopt : text_of(*reply);
+    if (!text)
     {
         log(log_level::warning, "peer_reply_refused",
             {{"peer", sender.value}, {"bytes", message.size()}});
         return;
     }
     peer_reply received{.sender = sender, .reply = *reply};
+    received.reply.configuration_text = *text;
+    received.reply.is_text_compressed = false;
     if (!received.reply.configuration_text.empty())
     {
         received.table = options_.parse_configuration(received.reply.configuration_text,
--- a/src/daemon/state_transfer.hpp
+++ b/src/daemon/state_transfer.hpp
@@ -66,6 +66,8 @@
     void accept();
     void handle_request(const std::shared_ptr<session>& connection, byte_view message);
     void handle_reply(instance_id sender, byte_view message);
+    /// Compresses the configuration of \p reply, once for each configuration.
+    void compress_configuration(state_reply& reply);
 
     state_transfer_options options_;
     std::function<void(packet_worker_message)> send_message_;
@@ -74,6 +76,9 @@
     /// Atomic because the packet_worker may drop the last reference to a session.
     std::atomic<std::size_t> open_sessions_ = 0;
     traffic_counter traffic_;
+    state_revision compressed_configuration_;
+    /// The text of compressed_configuration_.
+    std::string compressed_text_;
 };
 
 } // namespace kumquatpath
--- a/src/edge/fleet_codec.cpp
+++ b/src/edge/fleet_codec.cpp
@@ -141,7 +141,8 @@
     {
         type = wire::FleetBody::StateRequest;
         return wire::CreateStateRequest(out, request.position.value,
-                                        request.configuration.value)
+                                        request.configuration.value,
+                                        request.accepts_compressed_text)
             .Union();
     }
 
@@ -166,7 +167,8 @@
         return wire::CreateStateReply(out, reply.update.position.value, changes_offset,
                                       reply.configuration.value, text_offset,
                                       reply.update.complete_from.value,
-                                      reply.update.is_whole, evacuations_offset)
+                                      reply.update.is_whole, evacuations_offset,
+                                      reply.is_text_compressed)
             .Union();
     }
 };
@@ -203,7 +205,8 @@
     state_reply reply{.update = {.position = {encoded.position()},
                                  .complete_from = {encoded.complete_from()},
                                  .is_whole = encoded.is_whole()},
-                      .configuration = {encoded.configuration()}};
+                      .configuration = {encoded.configuration()},
+                      .is_text_compressed = encoded.is_text_compressed()};
     if (encoded.targets() != nullptr)
     {
         for (const wire::TargetChange* const change : *encoded.targets())
@@ -249,8 +252,10 @@
     }
     else if (const auto* const request = encoded.body_as_StateRequest())
     {
-        result.body = state_request{.position = {request->position()},
-                                    .configuration = {request->configuration()}};
+        result.body =
+            state_request{.position = {request->position()},
+                          .configuration = {request->configuration()},
+                          .accepts_compressed_text = request->accepts_compressed_text()};
     }
     else if (const auto* const reply = encoded.body_as_StateReply())
     {
