HTTP client: a response may take as long as its bytes arrive

What had arrived was lost, the next call began at the same position, and its answer had grown by then.

An instance that reads the store over a slow link still needs this: two versions take 2.4 s there.

Change: the timeout ends with the first bytes of the response; then pauses of at most 0.9 s, 8 s in all.

Before: a_response_that_keeps_arriving_is_not_given_up fails without the change (the call takes 0.5 s, its timeout is 0.2 s).

--- a/include/kumquatpath/edge/http_client.hpp
+++ b/include/kumquatpath/edge/http_client.hpp
@@ -65,6 +65,13 @@
 /// that calls all the time.
 inline constexpr std::chrono::milliseconds max_idle_connection_time{1000};
 
+/// A response that stops arriving for longer than this is given up.
+inline constexpr std::chrono::milliseconds max_pause_in_response{900};
+
+/// The longest time from the first bytes of a response to its end: a few of the largest
+/// values of the platform over a slow link.
+inline constexpr std::chrono::milliseconds max_response_time{8000};
+
 /// A client of one server. It keeps one connection open between calls and reconnects when
 /// that connection has failed or was idle for max_idle_connection_time. Not thread-safe,
 /// except for cancel() and total_traffic().
@@ -79,8 +86,10 @@
     http_client& operator=(http_client&&) = delete;
 
     /// Sends \p request and waits for the response. Connecting takes at most the
-    /// request's timeout; sending the request and reading the response together take at
-    /// most the same time again. Fails with http_failure.
+    /// request's timeout, and so do sending the request and waiting for the first bytes
+    /// of the response together. From then on the call goes on as long as bytes arrive,
+    /// with pauses of at most max_pause_in_response, for max_response_time at most. Fails
+    /// with http_failure.
     ///
     /// A GET that fails on a reused connection, other than by a timeout, is retried once
     /// on a new connection, because the server may have closed the idle one. A GET that
@@ -98,9 +107,12 @@
 
 private:
     struct connection;
+    struct response_parser;
 
     boost::leaf::result<http_response> call_once(const http_request& request);
     bool connect(std::chrono::milliseconds timeout);
+    /// Reads the response on the connection into \p parser.
+    boost::system::error_code read_response(response_parser& parser);
     boost::system::error_code
     run_operation(const std::optional<boost::system::error_code>& outcome);
 
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace kumquatpath
@@ -69,6 +70,10 @@
     }
 };
 
+struct http_client::response_parser : http::response_parser<http::string_body>
+{
+};
+
 http_client::http_client(const endpoint& server) : server_(server) {}
 
 http_client::~http_client() = default;
@@ -116,6 +121,31 @@
     return true;
 }
 
+beast::error_code http_client::read_response(response_parser& parser)
+{
+    std::optional<time_point> first_bytes_at;
+    while (!parser.is_done())
+    {
+        std::optional<beast::error_code> outcome;
+        http::async_read_some(connection_->stream, connection_->buffer, parser,
+                              [&](beast::error_code error, std::size_t bytes)
+                              {
+                                  traffic_.count_received(bytes);
+                                  outcome = error;
+                              });
+        if (const beast::error_code failure = run_operation(outcome))
+        {
+            return failure;
+        }
+        const time_point now = monotonic_now();
+        first_bytes_at = first_bytes_at.value_or(now);
+        const auto left = *first_bytes_at + max_response_time - now;
+        connection_->stream.expires_after(
+            std::clamp<duration>(left, duration(0), max_pause_in_response));
+    }
+    return {};
+}
+
 boost::leaf::result<http_response> http_client::call_once(const http_request& request)
 {
     if (connection_ && (connection_->has_unexpected_bytes() ||
@@ -141,22 +171,15 @@
                           traffic_.count_sent(bytes);
                           outcome = error;
                       });
-    http::response_parser<http::string_body> parser;
+    response_parser parser;
     parser.body_limit(max_body_bytes);
-    if (!run_operation(outcome))
+    beast::error_code failure = run_operation(outcome);
+    if (!failure)
     {
-        outcome.reset();
-        http::async_read(connection_->stream, connection_->buffer, parser,
-                         [&](beast::error_code error, std::size_t bytes)
-                         {
-                             traffic_.count_received(bytes);
-                             outcome = error;
-                         });
-        run_operation(outcome);
+        failure = read_response(parser);
     }
     // Without a length, a body that broke off cannot be told from a complete one.
-    const bool is_incomplete =
-        outcome.value_or(asio::error::operation_aborted) || parser.get().need_eof();
+    const bool is_incomplete = failure || parser.get().need_eof();
     if (is_incomplete)
     {
         connection_.reset();
--- a/test/edge/http_client_test.cpp
+++ b/test/edge/http_client_test.cpp
@@ -12,6 +12,47 @@
 using namespace kumquatpath::test;
 using namespace std::chrono_literals;
 
+namespace
+{
+
+/// Answers one request with \p pieces, with \p pause after each of them.
+class slow_server
+{
+public:
+    slow_server(std::vector<std::string> pieces, std::chrono::milliseconds pause)
+        : acceptor_(context_, {boost::asio::ip::address_v4::loopback(), 0}),
+          thread_([this, pieces = std::move(pieces), pause] { serve(pieces, pause); })
+    {
+    }
+
+    endpoint address() const
+    {
+        return {.address = 0x7f000001, .port = acceptor_.local_endpoint().port()};
+    }
+
+private:
+    void serve(const std::vector<std::string>& pieces, std::chrono::milliseconds pause)
+    {
+        boost::asio::ip::tcp::socket socket(context_);
+        acceptor_.accept(socket);
+        std::string request;
+        boost::system::error_code error;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n",
+                                error);
+        for (const std::string& each : pieces)
+        {
+            boost::asio::write(socket, boost::asio::buffer(each), error);
+            std::this_thread::sleep_for(pause);
+        }
+    }
+
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::jthread thread_;
+};
+
+} // namespace
+
 TEST_GROUP(http_client){static std::string body_of(http_client & client){
     const auto response = client.call({.target = "/", .timeout = 1000ms});
 return response ? response->body : "no response";
@@ -79,6 +120,27 @@
     server.join();
 }
 
+// A large configuration over a slow link takes longer than a call may wait for an answer.
+TEST(http_client, a_response_that_keeps_arriving_is_not_given_up)
+{
+    slow_server server(
+        {"HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\n", "b", "o", "d", "y"}, 100ms);
+    http_client client(server.address());
+    const auto response = client.call({.target = "/", .timeout = 200ms});
+    CHECK_TRUE(static_cast<bool>(response));
+    STRCMP_EQUAL("body", response->body.c_str());
+}
+
+TEST(http_client, a_response_that_stops_arriving_is_given_up)
+{
+    slow_server server({"HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\n", "bo", "dy"},
+                       max_pause_in_response + 300ms);
+    http_client client(server.address());
+    const time_point started = monotonic_now();
+    CHECK_FALSE(static_cast<bool>(client.call({.target = "/", .timeout = 2000ms})));
+    CHECK_TRUE(monotonic_now() - started < max_pause_in_response + 300ms);
+}
+
 TEST(http_client, counts_the_bytes_of_requests_and_responses)
 {
     const std::string response = http_response_text(200, "body");
