Target directory: tombstones in a module of their own

Change: target_tombstones holds what a directory knows of departures of targets that it does not hold; the keys of a listing, the targets that it lacks and the tombstones that it ends are three functions. Behaviour is the same. Ruled out: moving the retention of targets too, which belongs to the directory.

--- a/src/decision/directory_update.cpp
+++ b/src/decision/directory_update.cpp
@@ -15,20 +15,27 @@
     return change.is_gone || change.record.has_value();
 }
 
-/// Marks the targets with an entry that \p listing, the state at \p position, lacks as
-/// gone. Returns how many there were.
-std::size_t mark_unlisted_gone(target_directory& directory,
-                               std::span<const target_change> listing,
-                               state_revision position, time_point now)
+using key_set = boost::unordered_flat_set<std::uint64_t>;
+
+/// Returns the keys of the targets that have an entry, usable or not, in \p listing.
+key_set keys_with_entry(std::span<const target_change> listing)
 {
-    boost::unordered_flat_set<std::uint64_t> listed;
+    key_set keys;
     for (const target_change& each : listing)
     {
         if (!each.is_gone || each.is_unusable)
         {
-            listed.insert(each.key.value);
+            keys.insert(each.key.value);
         }
     }
+    return keys;
+}
+
+/// Marks the targets with an entry that a listing at \p position lacks as gone. Returns
+/// how many there were.
+std::size_t mark_unlisted_gone(target_directory& directory, const key_set& listed,
+                               state_revision position, time_point now)
+{
     std::size_t marked = 0;
     for (known_target& each : directory.targets)
     {
@@ -40,6 +47,14 @@
             ++marked;
         }
     }
+    return marked;
+}
+
+/// Turns unusable entries of unknown targets that a listing at \p position lacks into
+/// departures.
+void end_unlisted_tombstones(target_directory& directory, const key_set& listed,
+                             state_revision position, time_point now)
+{
     for (auto& [key, tombstone] : directory.tombstones)
     {
         if (tombstone.is_unusable && tombstone.revision < position &&
@@ -48,7 +63,6 @@
             tombstone = {.revision = position, .recorded_at = now};
         }
     }
-    return marked;
 }
 
 /// Returns the newest change of \p target. A peer decides by its own configuration
@@ -145,7 +159,9 @@
     {
         return counts;
     }
-    const std::size_t gone = mark_unlisted_gone(directory, listing, position, now);
+    const key_set listed = keys_with_entry(listing);
+    const std::size_t gone = mark_unlisted_gone(directory, listed, position, now);
+    end_unlisted_tombstones(directory, listed, position, now);
     counts.updated += gone;
     counts.changed += gone;
     if (position > directory.position)
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -1,5 +1,6 @@
 #include <kumquatpath/decision/address_claims.hpp>
 #include <kumquatpath/decision/target_directory.hpp>
+#include <kumquatpath/decision/target_tombstones.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -156,45 +157,6 @@
     claim_address(directory, index);
 }
 
-/// Records that the directory no longer knows a change of \p revision.
-void record_forgotten(target_directory& directory, state_revision revision)
-{
-    directory.complete_from = std::max(directory.complete_from, revision);
-}
-
-void record_tombstone(target_directory& directory, target_key key,
-                      const target_tombstone& departure)
-{
-    const auto found = directory.tombstones.find(key.value);
-    if (found != directory.tombstones.end())
-    {
-        if (found->second.revision < departure.revision)
-        {
-            found->second = departure;
-        }
-        return;
-    }
-    if (directory.tombstones.size() >= max_tombstones)
-    {
-        record_forgotten(directory, departure.revision);
-        return;
-    }
-    directory.tombstones[key.value] = departure;
-}
-
-/// Removes and returns the tombstone of \p key. Its revision is 0 if there is none.
-target_tombstone take_tombstone(target_directory& directory, target_key key)
-{
-    const auto found = directory.tombstones.find(key.value);
-    if (found == directory.tombstones.end())
-    {
-        return {};
-    }
-    const target_tombstone departure = found->second;
-    directory.tombstones.erase(found);
-    return departure;
-}
-
 /// Applies a change of a target that is not in the directory. An entry up to the position
 /// was followed by a departure that the directory no longer knows.
 bool apply_first_change(target_directory& directory, const target_change& change,
@@ -246,25 +208,6 @@
     directory.free_indices.push_back(index);
 }
 
-void remove_tombstones(target_directory& directory, time_point now)
-{
-    boost::unordered::erase_if(directory.tombstones,
-                               [&](const auto& each)
-                               {
-                                   const target_tombstone& tombstone = each.second;
-                                   // A departure beyond the position is not implied by
-                                   // the position yet.
-                                   if (tombstone.revision > directory.position ||
-                                       now <
-                                           tombstone.recorded_at + gone_target_retention)
-                                   {
-                                       return false;
-                                   }
-                                   record_forgotten(directory, tombstone.revision);
-                                   return true;
-                               });
-}
-
 } // namespace
 
 const target_index* find_by_token(const target_directory& directory, flow_token token)
