Soak: an opening that a paused target reads after a withdrawal is not late

Cause: time_of_arrival() dates what a paused target reads to the start of its pause. If the order is withdrawn during the pause, openings that were sent after the withdrawal count as sent while it was in force.

Change: an opening is late only if the order was also in force when the target read it. The same as before for targets that are not paused.

--- a/soak/orders.py
+++ b/soak/orders.py
@@ -85,9 +85,10 @@
     """
     messages = []
     for target in order.targets:
+        # An opening that a paused target reads after the withdrawal may have been sent after it.
         late = [(at, instance) for at, instance in openings[target]
-                if is_late(order, time_of_arrival(disturbances, target, at), instance,
-                           disturbances)]
+                if order.is_in_force(at) and is_late(
+                    order, time_of_arrival(disturbances, target, at), instance, disturbances)]
         if late:
             after = late[-1][0] - order.acknowledged_at
             messages.append(f"{order}: {target} took {len(late)} new flows later than "
