Target directory: each entry has a state of its own, also where several share their digits

Cause: the directory knew targets by the hexadecimal digits at the end of the id. An unusable entry under another id with the same digits overwrote the state of the host's own entry, which nothing announced again. Related path: of two targets whose tokens are equal, the one that waited never got the token when the other was forgotten.

Ruled out (docs/design/unusable-entries.md): dropping such entries where the store is read, which needs all ids and has none after going on from a peer's position; keys from whole ids, as the digits stand before each packet and two releases must agree on tokens.

Change: target_change::entry is the hash of the whole id; by_entry and the tombstones go by it. Whom a token stands for is derived from all entries that share it (token_claims). A change of an older release, without an entry, counts for the one that is known of its key.

--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -65,6 +65,7 @@
 {
     /// The last valid announcement.
     target_record record;
+    entry_id entry;
     flow_token token;
     state_revision revision;
     /// Whether the newest change announces the target.
@@ -88,8 +89,7 @@
     time_point missing_from;
     /// False if this index is free.
     bool is_used = false;
-    /// Another target with a smaller key has the same token, so this one takes no new
-    /// flows.
+    /// Its token stands for another target, so this one takes no new flows.
     bool is_shadowed = false;
     /// The target's data centre is evacuated, so the target takes no new flows.
     bool is_evacuated = false;
@@ -112,6 +112,8 @@
 /// that arrives later adds the target as gone.
 struct target_tombstone
 {
+    target_key key;
+    entry_id entry;
     state_revision revision;
     /// See known_target::is_unusable.
     bool is_unusable = false;
@@ -123,8 +125,12 @@
 {
     std::vector<known_target> targets;
     std::vector<target_index> free_indices;
-    boost::unordered_flat_map<std::uint64_t, target_index> by_key;
+    /// By the entry or, if that is not stated, by the key.
+    boost::unordered_flat_map<std::uint64_t, target_index> by_entry;
+    /// The target that each token stands for.
     boost::unordered_flat_map<std::uint32_t, target_index> by_token;
+    /// The targets with a token that several have.
+    boost::unordered_flat_map<std::uint32_t, std::vector<target_index>> token_sharers;
     boost::unordered_flat_map<service_id, std::vector<target_index>,
                               std::hash<service_id>>
         by_service;
@@ -137,7 +143,7 @@
     /// The services that the configuration in force names. A target of another service
     /// may come from anyone: it ends no other target.
     service_set named_services;
-    /// By target key; only for targets that are not in the directory.
+    /// As by_entry; only for targets that are not in the directory.
     boost::unordered_flat_map<std::uint64_t, target_tombstone> tombstones;
     /// Each target is held as it was in the store at this position or later.
     state_revision position;
@@ -158,6 +164,18 @@
 
 // Queries.
 
+/// Returns what identifies an entry in target_directory::by_entry.
+inline std::uint64_t identity_of(target_key key, entry_id entry)
+{
+    return entry.value == 0 ? key.value : entry.value;
+}
+
+/// Returns the index of the target that \p change is about, or null. An older release
+/// doesn't state entries, so one that is not stated may be any entry of the key, and the
+/// other way round.
+const target_index* find_target(const target_directory& directory,
+                                const target_change& change);
+
 /// Returns the index of the target that \p token stands for, or null.
 const target_index* find_by_token(const target_directory& directory, flow_token token);
 
--- a/include/kumquatpath/model/target_record.hpp
+++ b/include/kumquatpath/model/target_record.hpp
@@ -18,6 +18,10 @@
 /// Identifies a target; the key stays the same across restarts of the target.
 using target_key = strong_type<struct target_key_tag, std::uint64_t>;
 
+/// Identifies the entry in which a target announces itself; 0: not stated, as by sources
+/// that have one entry for each target.
+using entry_id = strong_type<struct entry_id_tag, std::uint64_t>;
+
 /// Identifies a target in the packets of a flow; 0 means that none is assigned yet.
 using flow_token = strong_type<struct flow_token_tag, std::uint32_t>;
 
@@ -47,6 +51,9 @@
 struct target_change
 {
     target_key key;
+    /// Entries with different ids may be about the same target. What happens to one of
+    /// them says nothing about the others.
+    entry_id entry;
     state_revision revision;
     /// The last usable announcement, if the source of this change has it.
     std::optional<target_record> record;
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -202,7 +202,7 @@
     {
         has_logged_refused_targets_ = true;
         log(log_level::error, "targets_refused",
-            {{"known", self_.directory.by_key.size()},
+            {{"known", self_.directory.by_entry.size()},
              {"position", update.position.value}});
     }
 }
--- a/src/decision/address_claims.cpp
+++ b/src/decision/address_claims.cpp
@@ -18,7 +18,8 @@
 bool does_replace(const target_directory& directory, const known_target& later,
                   const known_target& earlier)
 {
-    return has_named_service(directory, later) && is_announced_after(later, earlier);
+    return later.record.key != earlier.record.key &&
+           has_named_service(directory, later) && is_announced_after(later, earlier);
 }
 
 /// Returns whether \p target, rather than \p holder, is to hold the address of both.
--- a/src/decision/directory_update.cpp
+++ b/src/decision/directory_update.cpp
@@ -1,3 +1,5 @@
+#include "token_claims.hpp"
+
 #include <kumquatpath/decision/directory_update.hpp>
 #include <kumquatpath/decision/held_back_entries.hpp>
 
@@ -18,33 +20,42 @@
 
 using key_set = boost::unordered_flat_set<std::uint64_t>;
 
-/// Returns the keys of the targets that have an entry, usable or not, in \p listing.
-key_set keys_with_entry(std::span<const target_change> listing)
+/// Returns the identities of the entries, usable or not, in \p listing.
+key_set listed_entries(std::span<const target_change> listing)
 {
     key_set keys;
     for (const target_change& each : listing)
     {
         if (!each.is_gone || each.is_unusable)
         {
-            keys.insert(each.key.value);
+            keys.insert(identity_of(each.key, each.entry));
         }
     }
     return keys;
 }
 
+/// Returns whether \p listed has the entry \p entry of the target with \p key. An older
+/// release lists the key alone.
+bool is_listed(const key_set& listed, target_key key, entry_id entry)
+{
+    return listed.contains(identity_of(key, entry)) || listed.contains(key.value);
+}
+
 /// Marks the targets with an entry that a listing at \p position lacks as gone. Returns
 /// how many there were.
 std::size_t mark_unlisted_gone(target_directory& directory, const key_set& listed,
                                state_revision position, time_point now)
 {
     std::size_t marked = 0;
-    for (known_target& each : directory.targets)
+    for (target_index index = 0; index < directory.targets.size(); ++index)
     {
+        known_target& each = directory.targets[index];
         const bool has_entry = each.is_announced || each.is_unusable || each.held_back;
         if (each.is_used && has_entry && each.revision < position &&
-            !listed.contains(each.record.key.value))
+            !is_listed(listed, each.record.key, each.entry))
         {
             mark_gone(directory, each, position, now);
+            review_token(directory, index);
             ++marked;
         }
     }
@@ -56,12 +67,14 @@
 void end_unlisted_tombstones(target_directory& directory, const key_set& listed,
                              state_revision position, time_point now)
 {
-    for (auto& [key, tombstone] : directory.tombstones)
+    for (auto& [identity, tombstone] : directory.tombstones)
     {
         if (tombstone.is_unusable && tombstone.revision < position &&
-            !listed.contains(key))
+            !is_listed(listed, tombstone.key, tombstone.entry))
         {
-            tombstone = {.revision = position, .recorded_at = now};
+            tombstone.revision = position;
+            tombstone.is_unusable = false;
+            tombstone.recorded_at = now;
         }
     }
 }
@@ -79,9 +92,13 @@
 {
     if (const auto unused = unused_announcement(target))
     {
-        return {.key = target.record.key, .revision = target.revision, .record = *unused};
+        return {.key = target.record.key,
+                .entry = target.entry,
+                .revision = target.revision,
+                .record = *unused};
     }
     return {.key = target.record.key,
+            .entry = target.entry,
             .revision = target.revision,
             .record = target.record,
             .is_gone = !target.is_announced,
@@ -91,12 +108,12 @@
 /// Returns whether \p change differs from what \p directory knows of its target.
 bool is_different(const target_directory& directory, const target_change& change)
 {
-    const auto found = directory.by_key.find(change.key.value);
-    if (found == directory.by_key.end())
+    const target_index* const found = find_target(directory, change);
+    if (found == nullptr)
     {
         return true;
     }
-    const known_target& target = directory.targets[found->second];
+    const known_target& target = directory.targets[*found];
     return target.is_announced == change.is_gone ||
            target.is_unusable != change.is_unusable ||
            (!change.is_gone && change.record != target.record);
@@ -133,11 +150,12 @@
         }
         changes.push_back(change_of(each));
     }
-    for (const auto& [key, tombstone] : directory.tombstones)
+    for (const auto& [identity, tombstone] : directory.tombstones)
     {
         if (tombstone.revision > position)
         {
-            changes.push_back({.key = {key},
+            changes.push_back({.key = tombstone.key,
+                               .entry = tombstone.entry,
                                .revision = tombstone.revision,
                                .is_gone = true,
                                .is_unusable = tombstone.is_unusable});
@@ -169,7 +187,7 @@
     {
         return counts;
     }
-    const key_set listed = keys_with_entry(listing);
+    const key_set listed = listed_entries(listing);
     const std::size_t gone = mark_unlisted_gone(directory, listed, position, now);
     end_unlisted_tombstones(directory, listed, position, now);
     counts.updated += gone;
--- a/src/decision/held_back_entries.cpp
+++ b/src/decision/held_back_entries.cpp
@@ -1,4 +1,5 @@
 #include "target_announcement.hpp"
+#include "token_claims.hpp"
 
 #include <kumquatpath/decision/held_back_entries.hpp>
 
@@ -67,6 +68,7 @@
                                        .revision = each.revision,
                                        .record = each.held_back->record};
             announce(directory, index, change, now);
+            review_token(directory, index);
             ++used;
         }
     }
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -1,4 +1,5 @@
 #include "target_announcement.hpp"
+#include "token_claims.hpp"
 
 #include <kumquatpath/decision/address_claims.hpp>
 #include <kumquatpath/decision/held_back_entries.hpp>
@@ -25,29 +26,6 @@
     return index;
 }
 
-/// Registers the token of the target at \p index. Of two targets with the same token, the
-/// one with the smaller key gets it, so that all instances decide alike.
-void claim_token(target_directory& directory, target_index index)
-{
-    known_target& target = directory.targets[index];
-    const auto [holder, is_new] =
-        directory.by_token.try_emplace(target.token.value, index);
-    if (is_new || holder->second == index)
-    {
-        return;
-    }
-    known_target& other = directory.targets[holder->second];
-    if (target.record.key < other.record.key)
-    {
-        other.is_shadowed = true;
-        holder->second = index;
-    }
-    else
-    {
-        target.is_shadowed = true;
-    }
-}
-
 /// Marks \p target, which was just added, gone since \p departure. Its announcement was
 /// never in force here, so it takes no new flows. It may have expired in an outage that
 /// ended just before.
@@ -87,12 +65,15 @@
            !directory.named_services.contains(announced.service);
 }
 
-target_index add(target_directory& directory, const target_record& record)
+target_index add(target_directory& directory, const target_change& change)
 {
+    const target_record& record = *change.record;
     const target_index index = allocate_index(directory);
-    directory.targets[index] =
-        known_target{.record = record, .token = token_of(record.key), .is_used = true};
-    directory.by_key[record.key.value] = index;
+    directory.targets[index] = known_target{.record = record,
+                                            .entry = change.entry,
+                                            .token = token_of(record.key),
+                                            .is_used = true};
+    directory.by_entry[identity_of(record.key, change.entry)] = index;
     directory.by_service[record.service].push_back(index);
     claim_token(directory, index);
     return index;
@@ -104,24 +85,26 @@
                         time_point now)
 {
     const bool is_outdated = change.revision <= directory.position;
-    const target_tombstone reported{.revision = change.revision,
+    const target_tombstone reported{.key = change.key,
+                                    .entry = change.entry,
+                                    .revision = change.revision,
                                     .is_unusable = change.is_unusable && !is_outdated,
                                     .recorded_at = now};
     if (!change.record)
     {
-        record_tombstone(directory, change.key, reported);
+        record_tombstone(directory, reported);
         return false;
     }
-    if (directory.by_key.size() >= max_known_targets)
+    if (directory.by_entry.size() >= max_known_targets)
     {
         ++directory.refused_targets;
         record_forgotten(directory, change.revision);
         return false;
     }
-    const target_index index = add(directory, *change.record);
+    const target_index index = add(directory, change);
     known_target& target = directory.targets[index];
     announce(directory, index, change, now);
-    target_tombstone known = take_tombstone(directory, change.key);
+    target_tombstone known = take_tombstone(directory, change.key, change.entry);
     known.recorded_at = now;
     const bool may_have_left = known.revision != state_revision{} && !known.is_unusable &&
                                is_first_of_era(directory, change.revision) &&
@@ -139,20 +122,27 @@
         mark_never_announced(target, reported);
         hold_back(target, change, now);
     }
+    review_token(directory, index);
     return true;
 }
 
+/// Records that the target at \p index, whose entry was not stated, announces itself in
+/// \p entry.
+void learn_entry(target_directory& directory, target_index index, entry_id entry)
+{
+    known_target& target = directory.targets[index];
+    directory.by_entry.erase(identity_of(target.record.key, target.entry));
+    target.entry = entry;
+    directory.by_entry[identity_of(target.record.key, entry)] = index;
+}
+
 void remove_target(target_directory& directory, target_index index)
 {
     known_target& target = directory.targets[index];
-    directory.by_key.erase(target.record.key.value);
+    directory.by_entry.erase(identity_of(target.record.key, target.entry));
     remove_from_service(directory, target.record.service, index);
     release_address(directory, index);
-    const auto holder = directory.by_token.find(target.token.value);
-    if (holder != directory.by_token.end() && holder->second == index)
-    {
-        directory.by_token.erase(holder);
-    }
+    release_token(directory, index);
     target = known_target{};
     directory.free_indices.push_back(index);
 }
@@ -174,6 +164,25 @@
     }
 }
 
+const target_index* find_target(const target_directory& directory,
+                                const target_change& change)
+{
+    const auto found = directory.by_entry.find(identity_of(change.key, change.entry));
+    if (found != directory.by_entry.end())
+    {
+        return &found->second;
+    }
+    const auto of_key = directory.by_entry.find(change.key.value);
+    if (of_key != directory.by_entry.end())
+    {
+        return &of_key->second;
+    }
+    const target_index* const holder = find_by_token(directory, token_of(change.key));
+    const bool is_any_entry = change.entry.value == 0 && holder != nullptr &&
+                              directory.targets[*holder].record.key == change.key;
+    return is_any_entry ? holder : nullptr;
+}
+
 const target_index* find_by_token(const target_directory& directory, flow_token token)
 {
     const auto found = directory.by_token.find(token.value);
@@ -212,12 +221,17 @@
     {
         return false;
     }
-    const auto found = directory.by_key.find(change.key.value);
-    if (found == directory.by_key.end())
+    const target_index* const found = find_target(directory, change);
+    if (found == nullptr)
     {
         return apply_first_change(directory, change, now);
     }
-    known_target& target = directory.targets[found->second];
+    const target_index index = *found;
+    known_target& target = directory.targets[index];
+    if (target.entry.value == 0 && change.entry.value != 0)
+    {
+        learn_entry(directory, index, change.entry);
+    }
     const bool has_entry = !change.is_gone || change.is_unusable;
     const bool is_outdated = has_entry && change.revision <= directory.position;
     if (change.revision <= target.revision || is_outdated)
@@ -243,8 +257,9 @@
     }
     else
     {
-        announce(directory, found->second, change, now);
+        announce(directory, index, change, now);
     }
+    review_token(directory, index);
     return true;
 }
 
@@ -266,6 +281,7 @@
                                        .revision = each.revision,
                                        .record = each.set_aside};
             announce(directory, index, change, now);
+            review_token(directory, index);
         }
     }
 }
@@ -314,14 +330,15 @@
         {
             continue;
         }
-        const target_key key = each.record.key;
-        const target_tombstone departure{.revision = each.revision,
+        const target_tombstone departure{.key = each.record.key,
+                                         .entry = each.entry,
+                                         .revision = each.revision,
                                          .is_unusable = each.is_unusable,
                                          .recorded_at = now};
         remove_target(directory, index);
         if (departure.revision > directory.position)
         {
-            record_tombstone(directory, key, departure);
+            record_tombstone(directory, departure);
         }
         else
         {
--- a/src/decision/target_tombstones.cpp
+++ b/src/decision/target_tombstones.cpp
@@ -10,10 +10,10 @@
     directory.complete_from = std::max(directory.complete_from, revision);
 }
 
-void record_tombstone(target_directory& directory, target_key key,
-                      const target_tombstone& departure)
+void record_tombstone(target_directory& directory, const target_tombstone& departure)
 {
-    const auto found = directory.tombstones.find(key.value);
+    const std::uint64_t identity = identity_of(departure.key, departure.entry);
+    const auto found = directory.tombstones.find(identity);
     if (found != directory.tombstones.end())
     {
         if (found->second.revision < departure.revision)
@@ -27,12 +27,13 @@
         record_forgotten(directory, departure.revision);
         return;
     }
-    directory.tombstones[key.value] = departure;
+    directory.tombstones[identity] = departure;
 }
 
-target_tombstone take_tombstone(target_directory& directory, target_key key)
+target_tombstone take_tombstone(target_directory& directory, target_key key,
+                                entry_id entry)
 {
-    const auto found = directory.tombstones.find(key.value);
+    const auto found = directory.tombstones.find(identity_of(key, entry));
     if (found == directory.tombstones.end())
     {
         return {};
--- a/src/decision/warm_up_allowance.cpp
+++ b/src/decision/warm_up_allowance.cpp
@@ -253,13 +253,13 @@
 {
     for (target_change& each : changes)
     {
-        const auto found = directory.by_key.find(each.key.value);
-        if (!each.record || found == directory.by_key.end() ||
-            directory.targets[found->second].set_aside)
+        const target_index* const found = find_target(directory, each);
+        if (!each.record || found == nullptr || directory.targets[*found].set_aside ||
+            directory.targets[*found].held_back)
         {
             continue;
         }
-        const duration left = directory.targets[found->second].warm_up_until - now;
+        const duration left = directory.targets[*found].warm_up_until - now;
         each.record->warm_up_left =
             std::max(std::chrono::ceil<std::chrono::milliseconds>(left),
                      std::chrono::milliseconds(0));
--- a/src/edge/fleet_codec.cpp
+++ b/src/edge/fleet_codec.cpp
@@ -65,12 +65,14 @@
         change.record.has_value(), record.service.value, pack(record.address),
         record.data_centre.value, record.slots, record.is_draining,
         static_cast<std::uint32_t>(record.warm_up_left.count()), record.incarnation,
-        change.is_unusable, change.revision.era.value, record.sequence);
+        change.is_unusable, change.revision.era.value, record.sequence,
+        change.entry.value);
 }
 
 target_change from_wire(const wire::TargetChange& encoded)
 {
     target_change change{.key = {encoded.key()},
+                         .entry = {encoded.entry()},
                          .revision = {encoded.revision(), {encoded.era()}},
                          .is_gone = encoded.is_gone(),
                          .is_unusable = encoded.is_gone() && encoded.is_unusable()};
--- a/test/decision/directory_update_test.cpp
+++ b/test/decision/directory_update_test.cpp
@@ -59,8 +59,8 @@
 
     bool takes_flows(const entry_instance& instance, std::uint64_t key)
     {
-        const auto found = instance.directory.by_key.find(key);
-        return found != instance.directory.by_key.end() &&
+        const auto found = instance.directory.by_entry.find(key);
+        return found != instance.directory.by_entry.end() &&
                takes_new_flows(instance.directory.targets[found->second], now);
     }
 
@@ -315,7 +315,7 @@
         many.push_back(announcement(key, 11));
     }
     watch(asker, 11, std::move(many));
-    CHECK_TRUE(asker.directory.by_key.size() <= 65'536);
+    CHECK_TRUE(asker.directory.by_entry.size() <= 65'536);
     CHECK_TRUE(takes_flows(asker, 1));
     // What it had no room for it doesn't claim to know.
     CHECK_TRUE(reply_of(asker, 10).is_whole);
--- a/test/decision/ended_target_fixture.hpp
+++ b/test/decision/ended_target_fixture.hpp
@@ -79,7 +79,7 @@
 
     bool is_replaced(std::uint64_t key)
     {
-        return directory.targets[directory.by_key.at(key)].is_replaced;
+        return directory.targets[directory.by_entry.at(key)].is_replaced;
     }
 };
 
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -56,7 +56,7 @@
         const steering_decision placed =
             steer(steering, table, directory, opening(flow), now);
         CHECK_TRUE(placed.verdict == steering_verdict::forward);
-        LONGS_EQUAL(directory.by_key.at(3), placed.target);
+        LONGS_EQUAL(directory.by_entry.at(3), placed.target);
     }
 }
 
@@ -65,8 +65,8 @@
     target_directory late = exclusive_directory();
     apply_change(late, announcement_at_address_of(1, 2, 20), now);
     apply_change(late, announcement(1, 10), now);
-    CHECK_TRUE(late.targets[late.by_key.at(1)].is_replaced);
-    CHECK_FALSE(late.targets[late.by_key.at(2)].is_replaced);
+    CHECK_TRUE(late.targets[late.by_entry.at(1)].is_replaced);
+    CHECK_FALSE(late.targets[late.by_entry.at(2)].is_replaced);
 }
 
 TEST(ended_target, stays_ended_when_the_next_target_is_gone_too)
@@ -135,7 +135,7 @@
     directory.position = {30};
     target_directory late = exclusive_directory();
     apply_update(late, update_since(directory, {}), now);
-    CHECK_FALSE(late.targets[late.by_key.at(2)].is_replaced);
+    CHECK_FALSE(late.targets[late.by_entry.at(2)].is_replaced);
 }
 
 TEST(ended_target, does_not_end_the_next_one_whatever_the_order_of_a_peers_changes)
@@ -152,8 +152,8 @@
         for (const std::size_t each : order)
         {
             apply_change(any, changes[each], now);
-            const auto next = any.by_key.find(2);
-            CHECK_FALSE(next != any.by_key.end() &&
+            const auto next = any.by_entry.find(2);
+            CHECK_FALSE(next != any.by_entry.end() &&
                         any.targets[next->second].is_replaced);
         }
     } while (std::next_permutation(order.begin(), order.end()));
@@ -170,7 +170,7 @@
     apply_change(late, next, now);
     const steering_decision placed = steer(steering, table, late, opening(1000), now);
     CHECK_TRUE(placed.verdict == steering_verdict::forward);
-    LONGS_EQUAL(late.by_key.at(2), placed.target);
+    LONGS_EQUAL(late.by_entry.at(2), placed.target);
 }
 
 TEST(ended_target, is_told_to_an_instance_that_knows_it_as_gone_by_a_later_announcement)
@@ -180,11 +180,11 @@
     target_directory late = exclusive_directory();
     apply_change(late, gone, now);
     apply_change(late, announcement_at_address_of(1, 2, 40), now);
-    CHECK_TRUE(late.targets[late.by_key.at(1)].is_replaced);
+    CHECK_TRUE(late.targets[late.by_entry.at(1)].is_replaced);
     target_directory reversed = exclusive_directory();
     apply_change(reversed, announcement_at_address_of(1, 2, 40), now);
     apply_change(reversed, gone, now);
-    CHECK_TRUE(reversed.targets[reversed.by_key.at(1)].is_replaced);
+    CHECK_TRUE(reversed.targets[reversed.by_entry.at(1)].is_replaced);
 }
 
 TEST(ended_target, is_told_by_the_last_of_three_although_the_first_is_known_only_as_gone)
@@ -195,8 +195,8 @@
     apply_change(late, gone, now);
     apply_change(late, announcement_at_address_of(1, 2, 20), now);
     apply_change(late, announcement_at_address_of(1, 3, 25), now);
-    CHECK_TRUE(late.targets[late.by_key.at(2)].is_replaced);
-    CHECK_FALSE(late.targets[late.by_key.at(3)].is_replaced);
+    CHECK_TRUE(late.targets[late.by_entry.at(2)].is_replaced);
+    CHECK_FALSE(late.targets[late.by_entry.at(3)].is_replaced);
 }
 
 TEST(ended_target, is_not_one_that_moved_before_whatever_the_order_of_arrival)
@@ -213,8 +213,8 @@
         {
             apply_change(any, changes[each], now);
         }
-        CHECK_FALSE(any.targets[any.by_key.at(1)].is_replaced);
-        CHECK_FALSE(any.targets[any.by_key.at(2)].is_replaced);
+        CHECK_FALSE(any.targets[any.by_entry.at(1)].is_replaced);
+        CHECK_FALSE(any.targets[any.by_entry.at(2)].is_replaced);
     } while (std::next_permutation(order.begin(), order.end()));
 }
 
@@ -237,7 +237,7 @@
     target_change changed = announcement(1, 20);
     changed.record->service = store;
     apply_change(directory, changed, now);
-    directory.targets[directory.by_key.at(1)].is_evacuated = true;
+    directory.targets[directory.by_entry.at(1)].is_evacuated = true;
     CHECK_FALSE(is_replaced(1));
     CHECK_TRUE(verdict_of(continuation(1000, token)) == steering_verdict::forward);
 }
@@ -250,7 +250,7 @@
     now += gone_target_retention;
     remove_gone_targets(directory, now);
     apply_change(directory, announcement(3, 40), now);
-    LONGS_EQUAL(0, directory.by_key.at(3));
+    LONGS_EQUAL(0, directory.by_entry.at(3));
     CHECK_FALSE(is_replaced(3));
     CHECK_FALSE(is_replaced(2));
     apply_change(directory, announcement_at_address_of(1, 4, 50), now);
@@ -265,7 +265,7 @@
         steer(steering, table, directory, opening(1000), now);
     const std::uint64_t other =
         directory.targets[placed.target].record.key.value == 1 ? 3 : 1;
-    const target_index second = directory.by_key.at(other);
+    const target_index second = directory.by_entry.at(other);
     place_second_try(steering, directory, {1000}, steering.flows.at(1000), second, now);
     now += 6ms;
     verdict_of(continuation(1000, token_of({other})));
--- a/test/decision/evacuations_test.cpp
+++ b/test/decision/evacuations_test.cpp
@@ -225,8 +225,8 @@
     /// Returns whether target \p key of \p instance takes new flows.
     bool takes_flows(const entry_instance& instance, std::uint64_t key)
     {
-        const auto found = instance.directory.by_key.find(key);
-        return found != instance.directory.by_key.end() &&
+        const auto found = instance.directory.by_entry.find(key);
+        return found != instance.directory.by_entry.end() &&
                takes_new_flows(instance.directory.targets[found->second], now);
     }
 
--- a/test/decision/state_convergence_test.cpp
+++ b/test/decision/state_convergence_test.cpp
@@ -215,8 +215,8 @@
 
     const known_target* held(const entry_instance& entry, std::uint64_t key)
     {
-        const auto found = entry.directory.by_key.find(key);
-        return found == entry.directory.by_key.end()
+        const auto found = entry.directory.by_entry.find(key);
+        return found == entry.directory.by_entry.end()
                    ? nullptr
                    : &entry.directory.targets[found->second];
     }
--- a/test/decision/store_return_convergence_test.cpp
+++ b/test/decision/store_return_convergence_test.cpp
@@ -530,9 +530,9 @@
             const bool is_to_be_used = stored != store_.entries.end() &&
                                        !stored->second.record->is_draining &&
                                        !is_evacuated_;
-            const auto found = entry.directory.by_key.find(key);
+            const auto found = entry.directory.by_entry.find(key);
             const bool is_used =
-                found != entry.directory.by_key.end() &&
+                found != entry.directory.by_entry.end() &&
                 takes_new_flows(entry.directory.targets[found->second], now_);
             if (is_used != is_to_be_used)
             {
--- a/test/decision/store_return_test.cpp
+++ b/test/decision/store_return_test.cpp
@@ -95,8 +95,8 @@
 
     bool takes_flows(const entry_instance& instance, std::uint64_t key) const
     {
-        const auto found = instance.directory.by_key.find(key);
-        return found != instance.directory.by_key.end() &&
+        const auto found = instance.directory.by_entry.find(key);
+        return found != instance.directory.by_entry.end() &&
                takes_new_flows(instance.directory.targets[found->second], now);
     }
 
--- a/test/decision/target_directory_test.cpp
+++ b/test/decision/target_directory_test.cpp
@@ -20,8 +20,8 @@
 
     bool takes_flows(std::uint64_t key)
     {
-        const auto found = directory.by_key.find(key);
-        return found != directory.by_key.end() &&
+        const auto found = directory.by_entry.find(key);
+        return found != directory.by_entry.end() &&
                takes_new_flows(directory.targets[found->second], now);
     }
 
@@ -85,10 +85,10 @@
         }
         for (std::uint64_t key = 1; key <= 5; ++key)
         {
-            const known_target& here = directory.targets[directory.by_key.at(key)];
-            const auto found = other.by_key.find(key);
-            const bool is_there =
-                found != other.by_key.end() && other.targets[found->second].is_announced;
+            const known_target& here = directory.targets[directory.by_entry.at(key)];
+            const auto found = other.by_entry.find(key);
+            const bool is_there = found != other.by_entry.end() &&
+                                  other.targets[found->second].is_announced;
             CHECK_EQUAL(here.is_announced, is_there);
         }
     }
@@ -192,8 +192,8 @@
         apply_change(newcomer, each, now);
     }
     CHECK_TRUE(find_by_token(newcomer, token_of({1})) != nullptr);
-    CHECK_FALSE(takes_new_flows(newcomer.targets[newcomer.by_key.at(1)], now));
-    CHECK_TRUE(takes_new_flows(newcomer.targets[newcomer.by_key.at(2)], now));
+    CHECK_FALSE(takes_new_flows(newcomer.targets[newcomer.by_entry.at(1)], now));
+    CHECK_TRUE(takes_new_flows(newcomer.targets[newcomer.by_entry.at(2)], now));
     UNSIGNED_LONGS_EQUAL(1, changes_since(directory, {11}).size());
 }
 
--- a/test/decision/target_speed_test.cpp
+++ b/test/decision/target_speed_test.cpp
@@ -324,7 +324,7 @@
 {
     apply_change(directory, announcement(50, 50, south), now);
     place_flows(2000, 20);
-    UNSIGNED_LONGS_EQUAL(0, placed[directory.by_key.at(50)]);
+    UNSIGNED_LONGS_EQUAL(0, placed[directory.by_entry.at(50)]);
 }
 
 TEST(target_speed, a_target_that_fails_at_once_does_not_count_as_fast)
--- a/test/decision/unnamed_service_test.cpp
+++ b/test/decision/unnamed_service_test.cpp
@@ -69,8 +69,8 @@
         {
             apply_change(any, changes[each], now);
         }
-        CHECK_FALSE(any.targets[any.by_key.at(1)].is_replaced);
-        LONGS_EQUAL(any.by_key.at(1),
+        CHECK_FALSE(any.targets[any.by_entry.at(1)].is_replaced);
+        LONGS_EQUAL(any.by_entry.at(1),
                     any.by_address.at(pack(changes[0].record->address)));
     } while (std::next_permutation(order.begin(), order.end()));
 }
--- a/test/decision/unusable_entry_test.cpp
+++ b/test/decision/unusable_entry_test.cpp
@@ -47,7 +47,7 @@
 
 TEST_GROUP_BASE(unusable_entry, ended_target_fixture){
     const known_target & target_1()
-                             const {return directory.targets[directory.by_key.at(1)];
+                             const {return directory.targets[directory.by_entry.at(1)];
 }
 
 /// Returns the verdict on a payload of an open flow that is sent again after
@@ -128,10 +128,10 @@
     apply_change(peer, announcement(1, 10), now);
     apply_update(peer, {.position = {20}, .targets = changes_since(directory, {10})},
                  now);
-    CHECK_TRUE(peer.targets[peer.by_key.at(1)].is_unusable);
+    CHECK_TRUE(peer.targets[peer.by_entry.at(1)].is_unusable);
     target_directory late = exclusive_directory();
     apply_update(late, whole_state_of(directory), now);
-    CHECK_TRUE(late.targets[late.by_key.at(1)].is_unusable);
+    CHECK_TRUE(late.targets[late.by_entry.at(1)].is_unusable);
 }
 
 // An instance that started while the entry was unusable knows no announcement.
@@ -143,7 +143,7 @@
     apply_update(directory, whole_state_of(late), now);
     CHECK_TRUE(target_1().is_unusable);
     apply_change(late, announcement(1, 10), now);
-    CHECK_TRUE(late.targets[late.by_key.at(1)].is_unusable);
+    CHECK_TRUE(late.targets[late.by_entry.at(1)].is_unusable);
 }
 
 TEST(unusable_entry, of_an_unknown_target_is_a_departure_once_a_listing_lacks_it)
@@ -197,7 +197,7 @@
     target_directory peer{.has_exclusive_addresses = true};
     name_services(peer, {web, store, unnamed}, now);
     apply_update(peer, whole_state_of(directory), now);
-    const known_target& told = peer.targets[peer.by_key.at(1)];
+    const known_target& told = peer.targets[peer.by_entry.at(1)];
     CHECK_TRUE(told.is_announced);
     CHECK_TRUE(told.record.service == unnamed);
 }
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Tests of store_client as a state_source, against a server with prepared responses.
 
+#include <kumquatpath/decision/directory_update.hpp>
 #include <kumquatpath/decision/warm_up_allowance.hpp>
 #include <kumquatpath/model/configuration_envelope.hpp>
 #include <kumquatpath/model/configured_state.hpp>
@@ -307,7 +308,7 @@
         const bool is_added = each.key == target_key_of("t3");
         CHECK_TRUE(apply_change(directory, each, now));
         const known_target& known =
-            directory.targets[directory.by_key.at(each.key.value)];
+            directory.targets[directory.by_entry.at(each.key.value)];
         CHECK_TRUE(has_warm_up_limit(known, policy, now) == is_added);
         CHECK_TRUE(has_warm_up_limit(known, policy, now + 450s) == is_added);
         CHECK_FALSE(has_warm_up_limit(known, policy, now + 500s));
@@ -383,3 +384,25 @@
     CHECK_TRUE(failure_of([&] { return client.wait_for_changes({6}, 20s); }).has_value());
     CHECK_TRUE(std::chrono::steady_clock::now() - start < 3s);
 }
+
+// Guards against another writer's entry that counts as that of a running host because its
+// id ends with the same digits.
+TEST(store_client, entries_under_different_ids_are_told_apart_although_they_share_digits)
+{
+    canned_server server({{http_response_text(
+        200, R"({"items":[)" + item_json("servers/i-a", host_entry, 5) + "," +
+                 item_json("servers/saved-i-a", "odd", 6) +
+                 R"(],"hasMore":false,"at":9})")}});
+    store_client client(server.address());
+    const auto state = client.read_all();
+    CHECK_TRUE(static_cast<bool>(state));
+    server.join();
+    target_directory directory;
+    const time_point now{100s};
+    apply_update(directory, state->update, now);
+    const auto& targets = state->update.targets;
+    CHECK_TRUE(targets.at(0).key == targets.at(1).key);
+    CHECK_TRUE(targets.at(0).entry != targets.at(1).entry);
+    CHECK_TRUE(takes_new_flows(
+        directory.targets[directory.by_entry.at(targets.at(0).entry.value)], now));
+}
