Address claims: which target has ended is derived from the entries, by their starts

Cause: a target was marked as ended when another one at its address was announced with a higher revision. A late heartbeat of the process before has one. The mark was cleared only by the marked target's own next change, so it outlived the entry that it rested on, and instances that started later decided otherwise.

Ruled out: waiting for the old entry to lapse before a mark is set, which delays true resets and still follows the revision; clearing marks on a timer, which keeps them too long and too short.

Change: the directory keeps all targets at an address and derives with each change of one of them which have ended: those for which a later one is announced, by the start (born) of both, and by the revision only where a start is not known.

--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -98,8 +98,8 @@
     /// The target was gone when it became known: announced_revision is that of its
     /// departure, and when it was announced is unknown.
     bool is_announcement_older = false;
-    /// Another target was announced later at the same address, so this one has ended and
-    /// takes no new flows. Only if addresses are exclusive.
+    /// A later target is announced at the same address, so this one has ended and takes
+    /// no new flows. Only if addresses are exclusive.
     bool is_replaced = false;
     /// When the first announcement of this start of the target was applied.
     time_point warm_up_since;
@@ -137,9 +137,9 @@
     /// Only one target at a time has an address: an address is announced by its next
     /// target only after the previous one has ended.
     bool has_exclusive_addresses = false;
-    /// The target that was announced last at each address, as far as known, by the packed
-    /// endpoint; only if addresses are exclusive.
-    boost::unordered_flat_map<std::uint64_t, target_index> by_address;
+    /// The targets at each address, by the packed endpoint; only if addresses are
+    /// exclusive.
+    boost::unordered_flat_map<std::uint64_t, std::vector<target_index>> by_address;
     /// The services that the configuration in force names. A target of another service
     /// may come from anyone: it ends no other target.
     service_set named_services;
@@ -198,9 +198,8 @@
 bool apply_change(target_directory& directory, const target_change& change,
                   time_point now);
 
-/// Replaces the services that the configuration in force names by \p services. The
-/// targets of those that it did not name before claim their addresses, and announcements
-/// that were set aside for them are used.
+/// Replaces the services that the configuration in force names by \p services.
+/// Announcements that were set aside for them are used.
 void name_services(target_directory& directory, const service_set& services,
                    time_point now);
 
--- a/src/decision/address_claims.cpp
+++ b/src/decision/address_claims.cpp
@@ -7,33 +7,40 @@
 namespace
 {
 
-/// Returns whether \p later was certainly announced after \p earlier.
+/// Returns whether \p later certainly announced itself after \p earlier.
 bool is_announced_after(const known_target& later, const known_target& earlier)
 {
     return !later.is_announcement_older &&
            later.announced_revision > earlier.announced_revision;
 }
 
-/// Returns whether \p later shows that \p earlier has ended.
+/// Returns whether \p later certainly started after \p earlier. A process that has ended
+/// may still announce itself late, so its start counts, not its announcement.
+bool is_started_after(const known_target& later, const known_target& earlier)
+{
+    const std::uint64_t start = later.record.incarnation;
+    const std::uint64_t earlier_start = earlier.record.incarnation;
+    return start != 0 && earlier_start != 0 ? start > earlier_start
+                                            : is_announced_after(later, earlier);
+}
+
+/// Returns whether \p later shows that \p earlier, at the same address, has ended.
 bool does_replace(const target_directory& directory, const known_target& later,
                   const known_target& earlier)
 {
-    return later.record.key != earlier.record.key &&
-           has_named_service(directory, later) && is_announced_after(later, earlier);
+    return later.is_announced && later.record.key != earlier.record.key &&
+           has_named_service(directory, later) && is_started_after(later, earlier);
 }
 
-/// Returns whether \p target, rather than \p holder, is to hold the address of both.
-bool is_better_holder(const target_directory& directory, const known_target& target,
-                      const known_target& holder)
+void review(target_directory& directory, const std::vector<target_index>& at_address)
 {
-    const bool is_named = has_named_service(directory, target);
-    if (is_named != has_named_service(directory, holder))
+    for (const target_index each : at_address)
     {
-        return is_named;
+        known_target& target = directory.targets[each];
+        target.is_replaced = std::ranges::any_of(
+            at_address, [&](target_index other)
+            { return does_replace(directory, directory.targets[other], target); });
     }
-    const bool is_better_known =
-        holder.is_announcement_older && !target.is_announcement_older;
-    return is_better_known || is_announced_after(target, holder);
 }
 
 } // namespace
@@ -61,44 +68,46 @@
     {
         return;
     }
-    known_target& target = directory.targets[index];
-    const auto holder =
-        directory.by_address.try_emplace(pack(target.record.address), index).first;
-    if (holder->second == index)
+    std::vector<target_index>& at_address =
+        directory.by_address[pack(directory.targets[index].record.address)];
+    if (std::ranges::count(at_address, index) == 0)
     {
-        target.is_replaced = false;
-        return;
+        at_address.push_back(index);
     }
-    known_target& last = directory.targets[holder->second];
-    target.is_replaced = does_replace(directory, last, target);
-    last.is_replaced = last.is_replaced || does_replace(directory, target, last);
-    if (is_better_holder(directory, target, last))
+}
+
+void review_address(target_directory& directory, target_index index)
+{
+    const auto found =
+        directory.by_address.find(pack(directory.targets[index].record.address));
+    if (found != directory.by_address.end())
     {
-        holder->second = index;
+        review(directory, found->second);
     }
 }
 
 void release_address(target_directory& directory, target_index index)
 {
-    const auto holder =
+    const auto found =
         directory.by_address.find(pack(directory.targets[index].record.address));
-    if (holder != directory.by_address.end() && holder->second == index)
+    if (found == directory.by_address.end())
+    {
+        return;
+    }
+    std::erase(found->second, index);
+    directory.targets[index].is_replaced = false;
+    review(directory, found->second);
+    if (found->second.empty())
     {
-        directory.by_address.erase(holder);
+        directory.by_address.erase(found);
     }
 }
 
-void claim_addresses_of_new_services(target_directory& directory,
-                                     const service_set& named_before)
+void review_all_addresses(target_directory& directory)
 {
-    for (target_index index = 0; index < directory.targets.size(); ++index)
+    for (const auto& [address, at_address] : directory.by_address)
     {
-        const known_target& each = directory.targets[index];
-        if (each.is_used && has_named_service(directory, each) &&
-            !named_before.contains(each.record.service))
-        {
-            claim_address(directory, index);
-        }
+        review(directory, at_address);
     }
 }
 
--- a/src/decision/directory_update.cpp
+++ b/src/decision/directory_update.cpp
@@ -1,4 +1,4 @@
-#include "token_claims.hpp"
+#include "target_announcement.hpp"
 
 #include <kumquatpath/decision/directory_update.hpp>
 #include <kumquatpath/decision/held_back_entries.hpp>
@@ -55,7 +55,7 @@
             !is_listed(listed, each.record.key, each.entry))
         {
             mark_gone(directory, each, position, now);
-            review_token(directory, index);
+            review_claims(directory, index);
             ++marked;
         }
     }
--- a/src/decision/held_back_entries.cpp
+++ b/src/decision/held_back_entries.cpp
@@ -1,5 +1,4 @@
 #include "target_announcement.hpp"
-#include "token_claims.hpp"
 
 #include <kumquatpath/decision/held_back_entries.hpp>
 
@@ -68,7 +67,7 @@
                                        .revision = each.revision,
                                        .record = each.held_back->record};
             announce(directory, index, change, now);
-            review_token(directory, index);
+            review_claims(directory, index);
             ++used;
         }
     }
--- a/src/decision/target_announcement.cpp
+++ b/src/decision/target_announcement.cpp
@@ -1,5 +1,7 @@
 #include "target_announcement.hpp"
 
+#include "token_claims.hpp"
+
 #include <kumquatpath/decision/address_claims.hpp>
 
 #include <algorithm>
@@ -67,4 +69,10 @@
     claim_address(directory, index);
 }
 
+void review_claims(target_directory& directory, target_index index)
+{
+    review_token(directory, index);
+    review_address(directory, index);
+}
+
 } // namespace kumquatpath
--- a/src/decision/target_announcement.hpp
+++ b/src/decision/target_announcement.hpp
@@ -14,6 +14,10 @@
 void announce(target_directory& directory, target_index index,
               const target_change& change, time_point now);
 
+/// Decides anew, after a change of the target at \p index, which targets its token and
+/// its address stand for.
+void review_claims(target_directory& directory, target_index index);
+
 } // namespace kumquatpath
 
 #endif
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -7,7 +7,6 @@
 #include <kumquatpath/decision/target_tombstones.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace kumquatpath
 {
@@ -122,7 +121,7 @@
         mark_never_announced(target, reported);
         hold_back(target, change, now);
     }
-    review_token(directory, index);
+    review_claims(directory, index);
     return true;
 }
 
@@ -259,7 +258,7 @@
     {
         announce(directory, index, change, now);
     }
-    review_token(directory, index);
+    review_claims(directory, index);
     return true;
 }
 
@@ -270,8 +269,8 @@
     {
         return;
     }
-    const service_set before = std::exchange(directory.named_services, services);
-    claim_addresses_of_new_services(directory, before);
+    directory.named_services = services;
+    review_all_addresses(directory);
     for (target_index index = 0; index < directory.targets.size(); ++index)
     {
         known_target& each = directory.targets[index];
@@ -281,7 +280,7 @@
                                        .revision = each.revision,
                                        .record = each.set_aside};
             announce(directory, index, change, now);
-            review_token(directory, index);
+            review_claims(directory, index);
         }
     }
 }
--- a/test/decision/unusable_entry_test.cpp
+++ b/test/decision/unusable_entry_test.cpp
@@ -117,8 +117,10 @@
     apply_change(directory, announcement_at_address_of(1, 2, 30), now);
     CHECK_TRUE(is_replaced(1));
     apply_change(directory, unusable(2, 40), now);
-    CHECK_TRUE(is_replaced(1));
+    CHECK_FALSE(is_replaced(1));
     CHECK_FALSE(is_replaced(2));
+    apply_change(directory, announcement(1, 50), now);
+    CHECK_TRUE(takes_new_flows(target_1(), now));
 }
 
 TEST(unusable_entry, is_told_to_peers_as_what_it_is)
