Steering: a target that lost the race for a flow is told the token of the one that has it

Cause: a caller puts the token of the last packet that it received into its own, and a target that lost repeats its answer for ten seconds. Only the instance that had placed the opening twice kept the flow at its target; after a rehash the next instance goes by the token.

Change: an instance keeps the openings that it forwards for 12 s. With the first two packets after the opening, and when a packet names another target than the flow's, it sends the caller's opening again to the other targets with the token of the flow's target; their answers name that one from then on. A flow whose acknowledgement passed here stays at its target. Only with the platform's interface, where callers take over the last token. Metrics, an event.

--- a/include/kumquatpath/decision/entry_instance.hpp
+++ b/include/kumquatpath/decision/entry_instance.hpp
@@ -17,6 +17,7 @@
 #include <kumquatpath/decision/flow_steering.hpp>
 #include <kumquatpath/decision/second_tries.hpp>
 #include <kumquatpath/decision/target_evidence.hpp>
+#include <kumquatpath/decision/token_corrections.hpp>
 
 namespace kumquatpath
 {
@@ -39,6 +40,7 @@
     flow_steering steering;
     flow_limits limits;
     second_tries second_try_state;
+    token_corrections corrections;
     fleet_peers fleet;
     fleet_size estimated_fleet;
     /// The time of the first tick; unset: there was none.
@@ -71,6 +73,8 @@
     bool has_exclusive_addresses = false;
     /// See entry_instance::has_lasting_generations.
     bool has_lasting_generations = false;
+    /// See token_corrections::is_on.
+    bool corrects_tokens = false;
 };
 
 /// The effect of an update of the shared state.
--- a/include/kumquatpath/decision/flow_steering.hpp
+++ b/include/kumquatpath/decision/flow_steering.hpp
@@ -159,9 +159,9 @@
     /// In the order in which the openings were sent.
     std::deque<pending_opening> pending;
     target_selector selector;
-    /// A flow opened elsewhere whose acknowledgement of the target arrives here stays at
-    /// that target. For fleets whose instances send second tries.
-    bool pins_flows_opened_elsewhere = false;
+    /// A flow whose acknowledgement of the target arrives here stays at that target. For
+    /// callers that may put the token of another target into later packets.
+    bool pins_flows = false;
     std::uint64_t random = 1;
     time_point next_sweep;
     /// Start of the current window of rehash detection, and the number of flows opened
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -351,6 +351,9 @@
     write_dropped_messages(out, metrics.messages_dropped);
     write_metric(out, "flows_remembered", self.steering.flows.size());
     write_metric(out, "peers", self.fleet.peers.size());
+    write_metric(out, "openings_kept", self.corrections.openings.size());
+    write_metric(out, "token_corrections_sent", self.corrections.sent);
+    write_metric(out, "wrong_tokens", self.corrections.wrong_tokens);
     write_metric(out, "state_era", self.directory.position.era.value);
     write_metric(out, "state_position", self.directory.position.value);
     write_metric(out, "targets_held_back", count_held_back_entries(self.directory));
--- a/src/daemon/packet_worker.cpp
+++ b/src/daemon/packet_worker.cpp
@@ -31,7 +31,8 @@
                        .measures_distance = settings.uses_remote_placement},
          .second_tries_share = settings.second_tries_percent / percent,
          .has_exclusive_addresses = settings.resets_ended_flows,
-         .has_lasting_generations = settings.interface == served_interface::platform});
+         .has_lasting_generations = settings.interface == served_interface::platform,
+         .corrects_tokens = settings.interface == served_interface::platform});
 }
 
 std::string_view to_string(state_failure failure)
--- a/src/daemon/packet_worker.hpp
+++ b/src/daemon/packet_worker.hpp
@@ -106,6 +106,15 @@
     void receive_packets();
     void steer_packet(const received_packet& received, time_point now);
     void forward(const received_packet& received, const steering_decision& decision);
+    /// Forwards an opening and keeps it for correct_tokens().
+    void forward_opening(const flow_packet& packet, const received_packet& received,
+                         const steering_decision& decision, time_point now);
+    /// Sends the opening of the flow of \p packet, which was forwarded by \p decision, to
+    /// the other targets that may have answered it, with the token of the flow's target.
+    void correct_tokens(const flow_packet& packet, const steering_decision& decision,
+                        time_point now);
+    void log_token_correction(const flow_packet& packet, target_index target,
+                              target_index flow_target, time_point now);
     void refuse(const flow_packet& packet, const received_packet& received,
                 const refusal& refused, time_point now);
     /// Queues an opening until a target has room for it. If the queue is full, refuses
--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -124,9 +124,14 @@
     const steering_decision decision =
         steer(self_.steering, table, self_.directory, *packet, now);
     ++metrics_.verdicts[static_cast<std::size_t>(decision.verdict)];
-    if (decision.verdict == steering_verdict::forward)
+    if (decision.verdict == steering_verdict::forward && packet->is_opening)
+    {
+        forward_opening(*packet, received, decision, now);
+    }
+    else if (decision.verdict == steering_verdict::forward)
     {
         forward(received, decision);
+        correct_tokens(*packet, decision, now);
     }
     if (decision.is_placement)
     {
@@ -161,6 +166,46 @@
     data_socket_.queue(target.address, byte_view(output_buffer_).first(size));
 }
 
+void packet_worker::forward_opening(const flow_packet& packet,
+                                    const received_packet& received,
+                                    const steering_decision& decision, time_point now)
+{
+    keep_opening(self_.corrections, self_.directory, packet.flow, received.datagram,
+                 received.source, decision.target, now);
+    forward(received, decision);
+}
+
+void packet_worker::correct_tokens(const flow_packet& packet,
+                                   const steering_decision& decision, time_point now)
+{
+    for (const target_index target : corrections_due(self_.corrections, self_.directory,
+                                                     packet, decision.target, now))
+    {
+        const kept_opening& opening = *find_opening(self_.corrections, packet.flow);
+        forward({.datagram = opening.datagram, .source = opening.source},
+                {.verdict = steering_verdict::forward,
+                 .target = target,
+                 .token = decision.token});
+        log_token_correction(packet, target, decision.target, now);
+    }
+}
+
+void packet_worker::log_token_correction(const flow_packet& packet, target_index target,
+                                         target_index flow_target, time_point now)
+{
+    if (may_log(now))
+    {
+        const auto address_of = [&](target_index index)
+        {
+            return to_string(self_.directory.targets[index].record.address);
+        };
+        log(log_level::info, "token_corrected",
+            {{"flow", flow_name(packet)},
+             {"target", address_of(target)},
+             {"flow_target", address_of(flow_target)}});
+    }
+}
+
 void packet_worker::queue_opening(const flow_packet& packet,
                                   const received_packet& received, time_point now)
 {
@@ -242,7 +287,7 @@
     if (decision.verdict == steering_verdict::forward)
     {
         record_opening_placement(opening.packet, decision.target, now);
-        forward(to_received_packet(opening), decision);
+        forward_opening(opening.packet, to_received_packet(opening), decision, now);
     }
     if (const auto reason = refusal_reason_of(decision.verdict))
     {
--- a/src/daemon/packet_worker_second_tries.cpp
+++ b/src/daemon/packet_worker_second_tries.cpp
@@ -42,7 +42,8 @@
                  self_.directory, now);
     for (const second_try& each : sent)
     {
-        forward({.datagram = each.datagram, .source = each.source}, each.decision);
+        forward_opening(each.packet, {.datagram = each.datagram, .source = each.source},
+                        each.decision, now);
         log_second_try(each, now);
     }
     data_socket_.flush();
--- a/src/decision/entry_instance.cpp
+++ b/src/decision/entry_instance.cpp
@@ -138,7 +138,8 @@
     self.directory.has_exclusive_addresses = options.has_exclusive_addresses;
     self.has_lasting_generations = options.has_lasting_generations;
     self.second_try_state.share = options.second_tries_share;
-    self.steering.pins_flows_opened_elsewhere = options.second_tries_share > 0;
+    self.corrections.is_on = options.corrects_tokens;
+    self.steering.pins_flows = options.second_tries_share > 0 || options.corrects_tokens;
     self.steering.random = hash_pair(options.self.value, options.incarnation);
     self.steering.selector.warm_up.instance_seed = self.steering.random;
     return self;
@@ -416,6 +417,7 @@
         remove_silent_peers(self.fleet, now);
         forget_silent_evidence(self.steering.selector, self.fleet, now);
         remove_gone_targets(self.directory, now);
+        forget_old_openings(self.corrections, now);
     }
 }
 
--- a/src/decision/flow_steering.cpp
+++ b/src/decision/flow_steering.cpp
@@ -292,7 +292,7 @@
             .is_opened_elsewhere = true,
             // The first packet of a caller after the opening acknowledges the target that
             // answered it, and has no payload.
-            .is_pinned = steering.pins_flows_opened_elsewhere && !packet.has_payload};
+            .is_pinned = steering.pins_flows && !packet.has_payload};
     assign_target(steering, directory, flow, target, now);
     record_packet(steering, table, directory, flow, packet, now);
 }
@@ -364,6 +364,8 @@
     {
         decision.opening_time = now - flow.placed_at;
         finish_opening(steering, directory, flow, *token_target, now);
+        // As the first packet of a flow that was opened elsewhere.
+        flow.is_pinned = steering.pins_flows && !packet.has_payload;
     }
     if (packet.is_end && !flow.is_ended && !flow.is_opened_elsewhere)
     {
--- a/test/decision/ended_target_test.cpp
+++ b/test/decision/ended_target_test.cpp
@@ -287,7 +287,7 @@
 TEST(ended_target, is_not_the_one_of_a_pinned_flow_whose_token_names_an_ended_one)
 {
     apply_change(directory, announcement(3, 15), now);
-    steering.pins_flows_opened_elsewhere = true;
+    steering.pins_flows = true;
     verdict_of(continuation(1000, token_of({3})));
     apply_change(directory, announcement_at_address_of(1, 2, 20), now);
     CHECK_TRUE(verdict_of(continuation(1000, token_of({1}))) ==
--- a/test/decision/second_tries_answers_test.cpp
+++ b/test/decision/second_tries_answers_test.cpp
@@ -70,7 +70,7 @@
 TEST(second_tries_answers, another_instance_keeps_an_acknowledged_flow_at_its_target)
 {
     const second_try second = send_one(1);
-    flow_steering other{.pins_flows_opened_elsewhere = true};
+    flow_steering other{.pins_flows = true};
     const flow_token first_token = directory.targets[second.first_target].token;
     steer(other, table, directory, continuation(1, first_token), now);
     flow_packet request = continuation(1, second.decision.token);
@@ -83,7 +83,7 @@
 // tries: its first packet here may carry the token of a late answer.
 TEST(second_tries_answers, another_instance_follows_the_token_of_a_flow_in_progress)
 {
-    flow_steering other{.pins_flows_opened_elsewhere = true};
+    flow_steering other{.pins_flows = true};
     flow_packet request = continuation(1, directory.targets[1].token);
     request.has_payload = true;
     steer(other, table, directory, request, now);
