HTTP client: only a call without any byte of a response is retried

Cause: the retry is meant for a connection that the server closed while it was idle, but every failure other than a timeout on a reused connection led to it.

Ruled out: no retry at all (each closed idle connection would count as a failed read).

Change: the retry asks whether a byte of the response came.

--- a/include/kumquatpath/edge/http_client.hpp
+++ b/include/kumquatpath/edge/http_client.hpp
@@ -106,9 +106,9 @@
     /// with pauses of at most max_pause_in_response, for max_response_time at most. Fails
     /// with http_failure.
     ///
-    /// A GET that fails on a reused connection, other than by a timeout, is retried once
-    /// on a new connection, because the server may have closed the idle one. A GET that
-    /// timed out and requests with other methods are never retried.
+    /// A GET that fails on a reused connection before any byte of the response, other
+    /// than by a timeout, is retried once on a new connection, because the server may
+    /// have closed the idle one. Nothing else is retried.
     boost::leaf::result<http_response> call(const http_request& request);
 
     /// Aborts the call in progress and makes all later calls fail. May be called from any
@@ -135,7 +135,8 @@
     std::string reported_header_;
     boost::asio::io_context context_{1};
     std::atomic<bool> is_cancelled_{false};
-    bool has_timed_out_ = false;
+    /// The last call failed as it does on a connection that the server has closed.
+    bool may_have_been_closed_ = false;
     traffic_counter traffic_;
     std::unique_ptr<connection> connection_;
 };
--- a/src/edge/http_client.cpp
+++ b/src/edge/http_client.cpp
@@ -86,9 +86,7 @@
         return asio::error::operation_aborted;
     }
     context_.run();
-    const beast::error_code result = outcome.value_or(asio::error::operation_aborted);
-    has_timed_out_ = result == beast::error::timeout;
-    return result;
+    return outcome.value_or(asio::error::operation_aborted);
 }
 
 void http_client::cancel()
@@ -152,6 +150,7 @@
     {
         connection_.reset();
     }
+    may_have_been_closed_ = false;
     if (!connection_ && !connect(request.timeout))
     {
         return boost::leaf::new_error(http_failure::not_sent);
@@ -179,6 +178,8 @@
     }
     // Without a length, a body that broke off cannot be told from a complete one.
     const bool is_incomplete = failure || parser.get().need_eof();
+    may_have_been_closed_ =
+        failure && failure != beast::error::timeout && !parser.got_some();
     if (is_incomplete)
     {
         connection_.reset();
@@ -210,7 +211,7 @@
 {
     const bool may_be_stale = connection_ && connection_->has_served_call;
     auto response = call_once(request);
-    if (!response && may_be_stale && !has_timed_out_ &&
+    if (!response && may_be_stale && may_have_been_closed_ &&
         request.method == http_method::get)
     {
         return call_once(request);
--- a/test/edge/http_client_test.cpp
+++ b/test/edge/http_client_test.cpp
@@ -198,3 +198,19 @@
     CHECK_TRUE(client.total_traffic().received < 1'000'000);
     server.join();
 }
+
+// The same request on a new connection gets the same response.
+TEST(http_client, a_response_that_is_too_long_is_not_asked_for_twice)
+{
+    canned_server server({{http_response_text(200, "first"),
+                           http_response_text(200, std::string(11, 'x'))},
+                          {http_response_text(200, "third")}});
+    http_client client(server.address());
+    STRCMP_EQUAL("first", body_of(client).c_str());
+    const http_request request{
+        .target = "/long", .timeout = 1000ms, .max_body_bytes = 10};
+    CHECK_TRUE(failure_of(client, request) == http_failure::response_too_long);
+    STRCMP_EQUAL("third", body_of(client).c_str());
+    server.join();
+    UNSIGNED_LONGS_EQUAL(3, server.requests.size());
+}
