--- a/test/decision/state_convergence_test.cpp
+++ b/test/decision/state_convergence_test.cpp
@@ -8,6 +8,8 @@
 
 #include "plain_store.hpp"
 
+#include <support/environment.hpp>
+
 #include <algorithm>
 #include <cstdlib>
 #include <random>
@@ -26,12 +28,6 @@
 constexpr int steps = 1500;
 constexpr std::uint64_t default_seeds = 50;
 
-std::uint64_t number_from_environment(const char* name, std::uint64_t otherwise)
-{
-    const char* const text = std::getenv(name);
-    return text == nullptr ? otherwise : std::stoull(text);
-}
-
 struct message
 {
     std::size_t receiver = 0;
--- a/test/decision/store_return_convergence_test.cpp
+++ b/test/decision/store_return_convergence_test.cpp
@@ -10,6 +10,8 @@
 
 #include <kumquatpath/decision/held_back_entries.hpp>
 
+#include <support/environment.hpp>
+
 #include <cstdlib>
 #include <map>
 #include <random>
@@ -31,12 +33,6 @@
 /// The store removes the entry of a target that is silent for this long.
 constexpr duration lapse_time = std::chrono::milliseconds(3600);
 
-std::uint64_t number_from_environment(const char* name, std::uint64_t otherwise)
-{
-    const char* const text = std::getenv(name);
-    return text == nullptr ? otherwise : std::stoull(text);
-}
-
 /// What the store holds, and the changes that a watch can return.
 struct stored_state
 {
--- a/test/platform/store_client_test.cpp
+++ b/test/platform/store_client_test.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Tests of store_client as a state_source, against a server with prepared responses.
 
+#include "state_failures.hpp"
+
 #include <kumquatpath/decision/directory_update.hpp>
 #include <kumquatpath/decision/warm_up_allowance.hpp>
 #include <kumquatpath/model/configuration_envelope.hpp>
@@ -46,20 +48,6 @@
 const std::string configuration_document =
     R"({"version":7,"routes":[{"name":"a","host":"1.2.3.4","prefix":"/80/","kind":"idempotent","service":"x"}]})";
 
-/// Returns the state_failure that \p call fails with, or nothing.
-template <class Call>
-std::optional<state_failure> failure_of(Call call)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::optional<state_failure>>
-        {
-            BOOST_LEAF_CHECK(call());
-            return std::optional<state_failure>();
-        },
-        [](state_failure failure) { return std::optional(failure); },
-        [] { return std::optional<state_failure>(); });
-}
-
 } // namespace
 
 TEST_GROUP(store_client){};
--- a/test/platform/store_era_test.cpp
+++ b/test/platform/store_era_test.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// Tests of store_client against a store that counts its returns from a copy.
 
+#include "state_failures.hpp"
+
 #include <boost/leaf/handle_errors.hpp>
 
 #include <platform/store_client.hpp>
@@ -36,20 +38,6 @@
            std::to_string(position) + "}";
 }
 
-/// Returns the failure of \p call, or nothing if it succeeds.
-template <class Call>
-std::optional<state_failure> failure_of(Call call)
-{
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<std::optional<state_failure>>
-        {
-            BOOST_LEAF_CHECK(call());
-            return std::optional<state_failure>();
-        },
-        [](state_failure failure) { return std::optional(failure); },
-        [] { return std::optional<state_failure>(); });
-}
-
 std::optional<state_failure> failure_of_watch(store_client& client,
                                               state_revision position)
 {
