Directory: remove_from_service is internal to the changes of a target

It had become public when announce() moved to a file of its own; only target_announcement and target_directory call it. No logic changed; decision_test 460 of 460 before and after.

--- a/include/kumquatpath/decision/target_directory.hpp
+++ b/include/kumquatpath/decision/target_directory.hpp
@@ -203,10 +203,6 @@
 void name_services(target_directory& directory, const service_set& services,
                    time_point now);
 
-/// Removes the target at \p index from those of \p service.
-void remove_from_service(target_directory& directory, service_id service,
-                         target_index index);
-
 /// Marks \p target gone since \p revision.
 void mark_gone(const target_directory& directory, known_target& target,
                state_revision revision, time_point now);
--- a/src/decision/target_announcement.cpp
+++ b/src/decision/target_announcement.cpp
@@ -48,6 +48,21 @@
 
 } // namespace
 
+void remove_from_service(target_directory& directory, service_id service,
+                         target_index index)
+{
+    const auto found = directory.by_service.find(service);
+    if (found == directory.by_service.end())
+    {
+        return;
+    }
+    std::erase(found->second, index);
+    if (found->second.empty())
+    {
+        directory.by_service.erase(found);
+    }
+}
+
 void announce(target_directory& directory, target_index index,
               const target_change& change, time_point now)
 {
--- a/src/decision/target_directory.cpp
+++ b/src/decision/target_directory.cpp
@@ -148,21 +148,6 @@
 
 } // namespace
 
-void remove_from_service(target_directory& directory, service_id service,
-                         target_index index)
-{
-    const auto found = directory.by_service.find(service);
-    if (found == directory.by_service.end())
-    {
-        return;
-    }
-    std::erase(found->second, index);
-    if (found->second.empty())
-    {
-        directory.by_service.erase(found);
-    }
-}
-
 const target_index* find_target(const target_directory& directory,
                                 const target_change& change)
 {
