Shared state: the return of the store is reported once the whole state is known

An incremental answer of a peer of the new era was logged as the return, with the old era and position, before the listing that moves the instance there.

Cause: apply_shared_state() judged by the update, not by the position that resulted. Change: it compares the positions before and after. Before: is_not_reported_before_the_whole_state_is_known asks for what the old condition denies by reading; it was not run against it.

--- a/src/decision/shared_state.cpp
+++ b/src/decision/shared_state.cpp
@@ -143,20 +143,20 @@
 {
     shared_state_result result;
     const state_revision known = self.configuration.revision;
+    const state_revision old_position = self.directory.position;
     if (configuration != nullptr)
     {
         result.is_configuration_new = apply_configuration(self, *configuration, now);
         result.is_configuration_kept =
             !result.is_configuration_new && self.configuration.revision != known;
     }
-    if (is_first_of_era(self.directory, update.position))
-    {
-        result.returned_from = self.directory.position.era;
-    }
     const bool are_targets_older =
         result.is_configuration_kept && !self.has_lasting_generations;
     result.update = apply_state_update(
         self, are_targets_older ? without_changes(update, self.directory) : update, now);
+    const bool has_returned = old_position != state_revision{} &&
+                              self.directory.position.era > old_position.era;
+    result.returned_from = has_returned ? std::optional(old_position.era) : std::nullopt;
     return result;
 }
 
--- a/test/decision/store_return_test.cpp
+++ b/test/decision/store_return_test.cpp
@@ -160,6 +160,16 @@
     CHECK_FALSE(apply(listing_of({}, {42, second})).returned_from.has_value());
 }
 
+TEST(store_return, is_not_reported_before_the_whole_state_is_known)
+{
+    apply(listing_of({}, {60, first}));
+    const state_update part =
+        changes({change_of({1, {45, second}, 1})}, {44, second}, {45, second});
+    CHECK_FALSE(apply(part).returned_from.has_value());
+    CHECK_TRUE(apply(listing_of({{1, {45, second}, 1}}, {46, second})).returned_from ==
+               first);
+}
+
 TEST(store_return, a_late_answer_of_the_old_era_changes_nothing)
 {
     apply(listing_of({{1, {10, first}, 1}}, {50, first}));
