Steering: peers are told which target has a flow whose first opening another instance may have placed

The first target's repeated answer reached the caller while it paused, and after the next change the packet went by that token. The instance that saw the flow open did not know the first target, so it corrected nothing.

Who placed the first copy corrects its target and keeps the flow at the one that has it.

--- a/include/kumquatpath/decision/second_tries.hpp
+++ b/include/kumquatpath/decision/second_tries.hpp
@@ -126,6 +126,10 @@
 /// Returns when take_due() next has something to do; unset: nothing is pending.
 std::optional<time_point> next_due(const second_tries& tries);
 
+/// Returns whether packets of a flow opened at \p sent_at may pass another instance.
+bool may_be_rehashing(const second_tries& tries, const flow_steering& steering,
+                      time_point sent_at, time_point now);
+
 /// Returns the name of \p reason for metrics and logs.
 std::string_view to_string(second_try_withheld reason) noexcept;
 
--- a/include/kumquatpath/decision/token_corrections.hpp
+++ b/include/kumquatpath/decision/token_corrections.hpp
@@ -15,11 +15,16 @@
 /// caller wrote it, to each of the others with that target's token. Their answers then
 /// name it as well, and any instance steers the flow by its packets alone.
 ///
+/// If the first copy of the opening that arrived here was not the caller's first one,
+/// while the fabric may be rehashing, another instance may have placed the first one.
+/// Then the local peers are told, and the one that did sends its corrections.
+///
 /// Openings are kept as long as a target may repeat its answer. They may be lost at any
 /// time; then the flow's packets are steered as before.
 
-#include <kumquatpath/decision/flow_steering.hpp>
+#include <kumquatpath/decision/second_tries.hpp>
 #include <kumquatpath/model/bytes.hpp>
+#include <kumquatpath/model/fleet_message.hpp>
 
 #include <deque>
 #include <vector>
@@ -52,6 +57,8 @@
     endpoint source;
     time_point first_sent_at;
     std::vector<opening_target> targets;
+    /// The caller had sent the opening before, so another instance may have placed it.
+    bool is_copy = false;
     /// Packets of the caller since a target answered, as far as they are counted.
     std::uint32_t packets_since_answer = 0;
 };
@@ -68,14 +75,18 @@
     std::deque<std::pair<time_point, std::uint64_t>> by_age;
     /// Number of openings that were sent again to correct a token.
     std::uint64_t sent = 0;
+    /// Number of notices to peers, each of which goes to all local ones, and of those
+    /// that concerned an opening which is kept here.
+    std::uint64_t notices_sent = 0;
+    std::uint64_t notices_used = 0;
     /// Number of packets that named another target than that of their flow.
     std::uint64_t wrong_tokens = 0;
 };
 
-/// Records that the opening of \p flow, which arrived as \p datagram, is sent to \p
+/// Records that the opening \p packet, which arrived as \p datagram, is sent to \p
 /// target.
 void keep_opening(token_corrections& corrections, const target_directory& directory,
-                  flow_id flow, byte_view datagram, const endpoint& source,
+                  const flow_packet& packet, byte_view datagram, const endpoint& source,
                   target_index target, time_point now);
 
 /// Returns the targets to which the opening of the flow of \p packet is to be sent now
@@ -86,6 +97,20 @@
                                           const flow_packet& packet,
                                           target_index flow_target, time_point now);
 
+/// Returns whether peers are to be told which target has the flow of \p packet, which is
+/// not an opening. To be called before corrections_due().
+bool must_tell_peers(const token_corrections& corrections, const second_tries& tries,
+                     const flow_steering& steering, const flow_packet& packet,
+                     time_point now);
+
+/// Applies \p notice of a peer: the flow, if it is known here and no answer to it is,
+/// stays at the target that has it. Returns the targets to which its opening is to be
+/// sent now with the token of that target.
+std::vector<target_index> apply_flow_notice(token_corrections& corrections,
+                                            flow_steering& steering,
+                                            const target_directory& directory,
+                                            const flow_notice& notice, time_point now);
+
 /// Returns the opening of \p flow, or null if it is not kept.
 const kept_opening* find_opening(const token_corrections& corrections, flow_id flow);
 
--- a/include/kumquatpath/model/fleet_message.hpp
+++ b/include/kumquatpath/model/fleet_message.hpp
@@ -101,13 +101,22 @@
     bool is_text_compressed = false;
 };
 
+/// Tells a peer which target has a flow whose opening may have reached another target
+/// through the peer.
+struct flow_notice
+{
+    flow_id flow;
+    /// The token of the target that has the flow.
+    flow_token target;
+};
+
 /// A message between instances.
 struct fleet_message
 {
     instance_id sender;
     /// Increases with each message of one incarnation of the sender.
     std::uint64_t sequence = 0;
-    std::variant<fleet_heartbeat, state_request, state_reply> body;
+    std::variant<fleet_heartbeat, state_request, state_reply, flow_notice> body;
 };
 
 } // namespace kumquatpath
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -353,6 +353,8 @@
     write_metric(out, "peers", self.fleet.peers.size());
     write_metric(out, "openings_kept", self.corrections.openings.size());
     write_metric(out, "token_corrections_sent", self.corrections.sent);
+    write_metric(out, "flow_notices_sent", self.corrections.notices_sent);
+    write_metric(out, "flow_notices_used", self.corrections.notices_used);
     write_metric(out, "wrong_tokens", self.corrections.wrong_tokens);
     write_metric(out, "state_era", self.directory.position.era.value);
     write_metric(out, "state_position", self.directory.position.value);
--- a/src/daemon/packet_worker.hpp
+++ b/src/daemon/packet_worker.hpp
@@ -113,8 +113,16 @@
     /// the other targets that may have answered it, with the token of the flow's target.
     void correct_tokens(const flow_packet& packet, const steering_decision& decision,
                         time_point now);
-    void log_token_correction(const flow_packet& packet, target_index target,
-                              target_index flow_target, time_point now);
+    /// Sends the opening of \p flow, which must be kept, to \p targets with \p token.
+    void send_corrections(flow_id flow, const std::vector<target_index>& targets,
+                          flow_token token, time_point now);
+    void log_token_correction(const received_packet& opening, target_index target,
+                              flow_token token, time_point now);
+    /// Sends \p notice to all live peers of this data centre.
+    void send_to_local_peers(const flow_notice& notice, time_point now);
+    /// Processes a notice that \p sender sent from \p source.
+    void process_flow_notice(instance_id sender, const flow_notice& notice,
+                             const endpoint& source, time_point now);
     void refuse(const flow_packet& packet, const received_packet& received,
                 const refusal& refused, time_point now);
     /// Queues an opening until a target has room for it. If the queue is full, refuses
@@ -156,7 +164,8 @@
     /// Ignores and counts a message that cannot be authenticated or read, or that was not
     /// sent from the address in it. Replies at once to the first heartbeat after a peer's
     /// start.
-    void process_heartbeat(byte_view datagram, const endpoint& source, time_point now);
+    void process_peer_datagram(byte_view datagram, const endpoint& source,
+                               time_point now);
     /// Counts \p update. Logs the first target that has no room in the directory.
     void count_update(const state_update& update, const state_update_result& outcome);
     /// Logs whether the store has come back from an older copy, and the changes as
--- a/src/daemon/packet_worker_flows.cpp
+++ b/src/daemon/packet_worker_flows.cpp
@@ -170,7 +170,7 @@
                                     const received_packet& received,
                                     const steering_decision& decision, time_point now)
 {
-    keep_opening(self_.corrections, self_.directory, packet.flow, received.datagram,
+    keep_opening(self_.corrections, self_.directory, packet, received.datagram,
                  received.source, decision.target, now);
     forward(received, decision);
 }
@@ -178,31 +178,44 @@
 void packet_worker::correct_tokens(const flow_packet& packet,
                                    const steering_decision& decision, time_point now)
 {
-    for (const target_index target : corrections_due(self_.corrections, self_.directory,
-                                                     packet, decision.target, now))
+    if (must_tell_peers(self_.corrections, self_.second_try_state, self_.steering, packet,
+                        now))
     {
-        const kept_opening& opening = *find_opening(self_.corrections, packet.flow);
-        forward({.datagram = opening.datagram, .source = opening.source},
-                {.verdict = steering_verdict::forward,
-                 .target = target,
-                 .token = decision.token});
-        log_token_correction(packet, target, decision.target, now);
+        ++self_.corrections.notices_sent;
+        send_to_local_peers({.flow = packet.flow, .target = decision.token}, now);
     }
+    send_corrections(
+        packet.flow,
+        corrections_due(self_.corrections, self_.directory, packet, decision.target, now),
+        decision.token, now);
 }
 
-void packet_worker::log_token_correction(const flow_packet& packet, target_index target,
-                                         target_index flow_target, time_point now)
+void packet_worker::send_corrections(flow_id flow,
+                                     const std::vector<target_index>& targets,
+                                     flow_token token, time_point now)
 {
-    if (may_log(now))
+    for (const target_index target : targets)
+    {
+        const kept_opening& opening = *find_opening(self_.corrections, flow);
+        const received_packet received{.datagram = opening.datagram,
+                                       .source = opening.source};
+        forward(received,
+                {.verdict = steering_verdict::forward, .target = target, .token = token});
+        log_token_correction(received, target, token, now);
+    }
+}
+
+void packet_worker::log_token_correction(const received_packet& opening,
+                                         target_index target, flow_token token,
+                                         time_point now)
+{
+    const auto packet = format_.read(opening);
+    if (packet && may_log(now))
     {
-        const auto address_of = [&](target_index index)
-        {
-            return to_string(self_.directory.targets[index].record.address);
-        };
         log(log_level::info, "token_corrected",
-            {{"flow", flow_name(packet)},
-             {"target", address_of(target)},
-             {"flow_target", address_of(flow_target)}});
+            {{"flow", flow_name(*packet)},
+             {"target", to_string(self_.directory.targets[target].record.address)},
+             {"token", token.value}});
     }
 }
 
--- a/src/daemon/packet_worker_peers.cpp
+++ b/src/daemon/packet_worker_peers.cpp
@@ -41,7 +41,7 @@
         const auto batch = peer_socket_.receive();
         for (const received_datagram& each : batch)
         {
-            process_heartbeat(each.bytes, each.source, now);
+            process_peer_datagram(each.bytes, each.source, now);
         }
         may_have_more = batch.size() == udp_socket::batch_size;
     }
@@ -49,12 +49,18 @@
     query_peer_if_behind(now);
 }
 
-void packet_worker::process_heartbeat(byte_view datagram, const endpoint& source,
-                                      time_point now)
+void packet_worker::process_peer_datagram(byte_view datagram, const endpoint& source,
+                                          time_point now)
 {
     metrics_.control.heartbeats.received += datagram.size();
     const auto message =
         decode_fleet_message(datagram, settings_.key, max_fleet_datagram_bytes);
+    if (const auto* const notice =
+            message ? std::get_if<flow_notice>(&message->body) : nullptr)
+    {
+        process_flow_notice(message->sender, *notice, source, now);
+        return;
+    }
     const auto* const heartbeat =
         message ? std::get_if<fleet_heartbeat>(&message->body) : nullptr;
     if (heartbeat == nullptr || heartbeat->address.address != source.address)
@@ -75,6 +81,38 @@
     }
 }
 
+void packet_worker::process_flow_notice(instance_id sender, const flow_notice& notice,
+                                        const endpoint& source, time_point now)
+{
+    const auto peer = self_.fleet.peers.find(sender);
+    if (peer == self_.fleet.peers.end() || peer->second.address.address != source.address)
+    {
+        ++metrics_.peer_messages_refused;
+        return;
+    }
+    send_corrections(notice.flow,
+                     apply_flow_notice(self_.corrections, self_.steering, self_.directory,
+                                       notice, now),
+                     notice.target, now);
+    data_socket_.flush();
+}
+
+void packet_worker::send_to_local_peers(const flow_notice& notice, time_point now)
+{
+    const std::vector<std::byte> bytes =
+        encode_fleet_message({.sender = self_.fleet.self, .body = notice}, settings_.key);
+    for (const auto& [instance, peer] : self_.fleet.peers)
+    {
+        if (peer.data_centre == self_.fleet.local_data_centre &&
+            is_live(self_.fleet, peer, now))
+        {
+            metrics_.control.heartbeats.sent += bytes.size();
+            peer_socket_.queue(peer.address, bytes);
+        }
+    }
+    peer_socket_.flush();
+}
+
 void packet_worker::send_heartbeats(time_point now)
 {
     const bool is_large_fleet = is_large(self_.fleet);
--- a/src/decision/flow_table.cpp
+++ b/src/decision/flow_table.cpp
@@ -75,4 +75,21 @@
     place_again(steering, directory, id, flow, target, now);
 }
 
+void adopt_flow(flow_steering& steering, const target_directory& directory, flow_id id,
+                target_index target, time_point now)
+{
+    const auto found = steering.flows.find(id.value);
+    if (found == steering.flows.end() || found->second.is_answered)
+    {
+        return;
+    }
+    tracked_flow& flow = found->second;
+    assign_target(steering, directory, flow, target, now);
+    flow.is_answered = true;
+    flow.answered_at = now;
+    flow.last_seen = now;
+    flow.is_opened_elsewhere = true;
+    flow.is_pinned = true;
+}
+
 } // namespace kumquatpath
--- a/src/decision/flow_table.hpp
+++ b/src/decision/flow_table.hpp
@@ -23,6 +23,11 @@
 void expect_answer(flow_steering& steering, const tracked_flow& flow, flow_id id,
                    time_point now);
 
+/// Records that the unanswered flow \p id, if it is tracked, was opened through another
+/// instance at \p target, where it stays.
+void adopt_flow(flow_steering& steering, const target_directory& directory, flow_id id,
+                target_index target, time_point now);
+
 /// Places the unanswered opening of \p flow, whose identity is \p id, on another target.
 void place_again(flow_steering& steering, const target_directory& directory, flow_id id,
                  tracked_flow& flow, target_index target, time_point now);
--- a/src/decision/second_tries.cpp
+++ b/src/decision/second_tries.cpp
@@ -70,19 +70,6 @@
                                   directory.targets[target].record.data_centre);
 }
 
-/// Returns whether packets of a flow opened at \p sent_at may pass another instance.
-bool may_be_rehashing(const second_tries& tries, const flow_steering& steering,
-                      time_point sent_at, time_point now)
-{
-    const bool has_fleet_changed =
-        !tries.fleet_changed_at || now < *tries.fleet_changed_at + rehash_hold;
-    const bool has_flow_moved = steering.last_opened_elsewhere_at &&
-                                *steering.last_opened_elsewhere_at >= sent_at;
-    const bool was_rehashing =
-        steering.last_rehash_at && now < *steering.last_rehash_at + rehash_hold;
-    return tries.is_leaving || has_fleet_changed || has_flow_moved || was_rehashing;
-}
-
 /// Returns the tracked flow whose opening is \p opening if a second try could still help
 /// it: it is unanswered and was placed only once. Otherwise returns null.
 tracked_flow* unanswered_flow(flow_steering& steering, const pending_second_try& opening)
@@ -263,6 +250,18 @@
     return std::clamp(measured.value_or(fallback), min_delay, max_opening_timeout);
 }
 
+bool may_be_rehashing(const second_tries& tries, const flow_steering& steering,
+                      time_point sent_at, time_point now)
+{
+    const bool has_fleet_changed =
+        !tries.fleet_changed_at || now < *tries.fleet_changed_at + rehash_hold;
+    const bool has_flow_moved = steering.last_opened_elsewhere_at &&
+                                *steering.last_opened_elsewhere_at >= sent_at;
+    const bool was_rehashing =
+        steering.last_rehash_at && now < *steering.last_rehash_at + rehash_hold;
+    return tries.is_leaving || has_fleet_changed || has_flow_moved || was_rehashing;
+}
+
 std::optional<time_point> next_due(const second_tries& tries)
 {
     if (tries.due.empty())
--- a/src/decision/token_corrections.cpp
+++ b/src/decision/token_corrections.cpp
@@ -1,3 +1,5 @@
+#include "flow_table.hpp"
+
 #include <kumquatpath/decision/token_corrections.hpp>
 
 #include <algorithm>
@@ -60,14 +62,14 @@
 } // namespace
 
 void keep_opening(token_corrections& corrections, const target_directory& directory,
-                  flow_id flow, byte_view datagram, const endpoint& source,
+                  const flow_packet& packet, byte_view datagram, const endpoint& source,
                   target_index target, time_point now)
 {
     if (!corrections.is_on)
     {
         return;
     }
-    const auto found = corrections.openings.find(flow.value);
+    const auto found = corrections.openings.find(packet.flow.value);
     const bool is_same_opening = found != corrections.openings.end() &&
                                  now < found->second.first_sent_at + opening_lifetime;
     if (is_same_opening)
@@ -80,12 +82,13 @@
     {
         return;
     }
-    kept_opening& opening = corrections.openings[flow.value];
+    kept_opening& opening = corrections.openings[packet.flow.value];
     opening = {.datagram = {datagram.begin(), datagram.end()},
                .source = source,
-               .first_sent_at = now};
+               .first_sent_at = now,
+               .is_copy = packet.age > duration(0)};
     add_target(opening, directory, target);
-    corrections.by_age.emplace_back(now, flow.value);
+    corrections.by_age.emplace_back(now, packet.flow.value);
 }
 
 std::vector<target_index> corrections_due(token_corrections& corrections,
@@ -116,6 +119,44 @@
     return due;
 }
 
+bool must_tell_peers(const token_corrections& corrections, const second_tries& tries,
+                     const flow_steering& steering, const flow_packet& packet,
+                     time_point now)
+{
+    const kept_opening* const opening = find_opening(corrections, packet.flow);
+    return opening != nullptr && opening->is_copy && !packet.is_end &&
+           opening->packets_since_answer < corrected_packets &&
+           may_be_rehashing(tries, steering, opening->first_sent_at, now);
+}
+
+std::vector<target_index> apply_flow_notice(token_corrections& corrections,
+                                            flow_steering& steering,
+                                            const target_directory& directory,
+                                            const flow_notice& notice, time_point now)
+{
+    std::vector<target_index> due;
+    const auto found = corrections.openings.find(notice.flow.value);
+    const target_index* const holder = find_by_token(directory, notice.target);
+    if (found == corrections.openings.end() || holder == nullptr)
+    {
+        return due;
+    }
+    ++corrections.notices_used;
+    adopt_flow(steering, directory, notice.flow, *holder, now);
+    for (opening_target& each : found->second.targets)
+    {
+        const known_target& known = directory.targets[each.index];
+        if (each.index != *holder && known.record.key == each.key &&
+            takes_new_flows(known, now))
+        {
+            each.corrected_at = now;
+            due.push_back(each.index);
+        }
+    }
+    corrections.sent += due.size();
+    return due;
+}
+
 const kept_opening* find_opening(const token_corrections& corrections, flow_id flow)
 {
     const auto found = corrections.openings.find(flow.value);
--- a/src/edge/fleet_codec.cpp
+++ b/src/edge/fleet_codec.cpp
@@ -177,6 +177,13 @@
             .Union();
     }
 
+    flatbuffers::Offset<void> operator()(const flow_notice& notice)
+    {
+        type = wire::FleetBody::FlowNotice;
+        return wire::CreateFlowNotice(out, notice.flow.value, notice.target.value)
+            .Union();
+    }
+
     flatbuffers::Offset<void> operator()(const state_reply& reply)
     {
         std::vector<flatbuffers::Offset<wire::TargetChange>> changes;
@@ -298,6 +305,10 @@
     {
         result.body = from_wire(*reply);
     }
+    else if (const auto* const notice = encoded.body_as_FlowNotice())
+    {
+        result.body = flow_notice{.flow = {notice->flow()}, .target = {notice->target()}};
+    }
     else
     {
         return leaf::new_error(decode_failure::malformed);
--- a/test/decision/token_corrections_test.cpp
+++ b/test/decision/token_corrections_test.cpp
@@ -26,6 +26,7 @@
 {
     flow_steering steering{.pins_flows = true};
     token_corrections corrections{.is_on = true};
+    second_tries tries;
 };
 
 } // namespace
@@ -60,22 +61,42 @@
     /// The opening of flow 1000 goes to the target with \p key through \p instance.
     void open_at(steering_instance & instance, std::uint64_t key)
     {
-        keep_opening(instance.corrections, directory, {1000}, datagram, caller,
+        keep_opening(instance.corrections, directory, opening(1000), datagram, caller,
                      index_of(key), now);
         token_at[index_of(key)] = token_of({key});
     }
 
     /// The opening passes \p instance, which places it on the target that it chooses.
-    target_index place(steering_instance & instance)
+    target_index place(steering_instance & instance, duration age = duration(0))
     {
         const steering_decision placed =
-            steer(instance.steering, table, directory, opening(1000), now);
-        keep_opening(instance.corrections, directory, {1000}, datagram, caller,
-                     placed.target, now);
+            steer(instance.steering, table, directory, opening(1000, age), now);
+        keep_opening(instance.corrections, directory, opening(1000, age), datagram,
+                     caller, placed.target, now);
         token_at[placed.target] = placed.token;
         return placed.target;
     }
 
+    /// The caller's second copy, of a flow that \p instance does not know, is placed on
+    /// \p target.
+    void open_at_copy(steering_instance & instance, target_index target)
+    {
+        place(instance, 200ms);
+        tracked_flow& flow = instance.steering.flows.at(1000);
+        flow.target = target;
+        flow.key = directory.targets[target].record.key;
+        instance.corrections = {.is_on = true};
+        keep_opening(instance.corrections, directory, opening(1000, 200ms), datagram,
+                     caller, target, now);
+        token_at[target] = directory.targets[target].token;
+    }
+
+    bool must_tell(const steering_instance& instance) const
+    {
+        return must_tell_peers(instance.corrections, instance.tries, instance.steering,
+                               continuation(1000, callers_token), now);
+    }
+
     /// The caller receives a packet of the target with \p key.
     void receive_from(target_index target)
     {
@@ -253,8 +274,9 @@
 {
     for (std::uint64_t flow = 0; flow <= max_kept_openings; ++flow)
     {
-        keep_opening(first.corrections, directory, {flow}, datagram, caller, index_of(1),
-                     now);
+        keep_opening(first.corrections, directory,
+                     flow_packet{.flow = {flow}, .is_opening = true}, datagram, caller,
+                     index_of(1), now);
     }
     UNSIGNED_LONGS_EQUAL(max_kept_openings, first.corrections.openings.size());
 }
@@ -262,6 +284,72 @@
 TEST(token_corrections, keep_nothing_while_they_are_off)
 {
     token_corrections off;
-    keep_opening(off, directory, {1000}, datagram, caller, index_of(1), now);
+    keep_opening(off, directory, opening(1000), datagram, caller, index_of(1), now);
     CHECK_TRUE(off.openings.empty());
 }
+
+// Guards against a flow that moves, after a second rehash, to the target on which an
+// instance placed the first copy of its opening before the first rehash.
+TEST(token_corrections, reach_the_target_that_another_instance_chose)
+{
+    const target_index late = place(first);
+    now += 200ms;
+    const target_index winner = other_than(late);
+    open_at_copy(second, winner);
+    receive_from(winner);
+    CHECK_TRUE(must_tell(second));
+    send(second, false);
+    const flow_notice notice{.flow = {1000}, .target = directory.targets[winner].token};
+    for (const target_index each :
+         apply_flow_notice(first.corrections, first.steering, directory, notice, now))
+    {
+        token_at[each] = notice.target;
+    }
+    receive_from(late);
+    steering_instance third;
+    third.steering.selector.local_data_centre = north;
+    LONGS_EQUAL(winner, send(third, true));
+    // A packet that was under way with the old token, at the instance that was told.
+    callers_token = directory.targets[late].token;
+    LONGS_EQUAL(winner, send(first, true));
+}
+
+TEST(token_corrections, are_no_matter_of_peers_without_a_sign_of_another_placement)
+{
+    place(first);
+    receive_from(index_of(first.steering.flows.at(1000).key.value));
+    CHECK_FALSE(must_tell(first));
+    open_at_copy(second, index_of(1));
+    receive_from(index_of(1));
+    second.tries.fleet_changed_at = now - 1min;
+    CHECK_FALSE(must_tell(second));
+    second.tries.fleet_changed_at = now;
+    CHECK_TRUE(must_tell(second));
+    send(second, false);
+    send(second, true);
+    CHECK_FALSE(must_tell(second));
+}
+
+TEST(token_corrections, a_notice_about_an_unknown_flow_or_target_changes_nothing)
+{
+    const target_index placed = place(first);
+    const flow_notice unknown_flow{.flow = {7}, .target = token_of({1})};
+    const flow_notice unknown_target{.flow = {1000}, .target = token_of({99})};
+    for (const flow_notice& each : {unknown_flow, unknown_target})
+    {
+        CHECK_TRUE(
+            apply_flow_notice(first.corrections, first.steering, directory, each, now)
+                .empty());
+    }
+    CHECK_FALSE(first.steering.flows.at(1000).is_answered);
+    LONGS_EQUAL(placed, first.steering.flows.at(1000).target);
+}
+
+TEST(token_corrections, a_late_notice_does_not_move_a_flow_that_was_answered_here)
+{
+    const target_index winner = open_with_second_try();
+    const flow_notice notice{.flow = {1000},
+                             .target = directory.targets[other_than(winner)].token};
+    apply_flow_notice(first.corrections, first.steering, directory, notice, now);
+    LONGS_EQUAL(winner, first.steering.flows.at(1000).target);
+}
--- a/test/edge/fleet_codec_test.cpp
+++ b/test/edge/fleet_codec_test.cpp
@@ -153,6 +153,15 @@
     STRCMP_EQUAL("a text", body.configuration_text.c_str());
 }
 
+TEST(fleet_codec, a_decoded_flow_notice_equals_the_encoded_one)
+{
+    const fleet_message decoded = encode_and_decode(
+        {.sender = {3}, .body = flow_notice{.flow = {0xabcdef}, .target = {77}}});
+    const auto& body = std::get<flow_notice>(decoded.body);
+    UNSIGNED_LONGS_EQUAL(0xabcdef, body.flow.value);
+    UNSIGNED_LONGS_EQUAL(77, body.target.value);
+}
+
 TEST(fleet_codec, a_decoded_state_request_keeps_its_eras)
 {
     const state_request request{
