--- a/test/decision/store_return_convergence_test.cpp
+++ b/test/decision/store_return_convergence_test.cpp
@@ -6,14 +6,12 @@
 /// KUMQUATPATH_RETURN_SEEDS sets the number of seeds, and KUMQUATPATH_RETURN_FIRST_SEED
 /// the first one, to run a failing seed again.
 
-#include "entry_fixture.hpp"
+#include "returning_store.hpp"
 
 #include <kumquatpath/decision/held_back_entries.hpp>
 
 #include <support/environment.hpp>
 
-#include <cstdlib>
-#include <map>
 #include <random>
 #include <string>
 
@@ -30,32 +28,6 @@
 constexpr std::uint64_t key_count = 5;
 constexpr int steps = 600;
 constexpr std::uint64_t default_seeds = 500;
-/// The store removes the entry of a target that is silent for this long.
-constexpr duration lapse_time = std::chrono::milliseconds(3600);
-
-/// What the store holds, and the changes that a watch can return.
-struct stored_state
-{
-    std::uint64_t revision = 1;
-    std::map<std::uint64_t, target_change> entries;
-    std::map<std::uint64_t, target_change> changes;
-    std::optional<evacuation_change> evacuation;
-    std::map<std::uint64_t, evacuation_change> evacuation_changes;
-    shared_configuration configuration;
-    /// The changes up to this one can't be watched.
-    std::uint64_t compacted = 0;
-};
-
-/// A process that announces itself.
-struct running_target
-{
-    bool is_alive = false;
-    bool is_draining = false;
-    std::uint64_t incarnation = 0;
-    std::uint64_t sequence = 0;
-    /// When a process that has ended was last heard.
-    time_point heard_at;
-};
 
 struct message
 {
@@ -79,8 +51,8 @@
 public:
     explicit returning_store_run(std::uint64_t seed) : seed_(seed), random_(seed)
     {
-        write_configuration();
-        copies_ = {store_};
+        store_.write_configuration();
+        store_.copies = {store_.state};
         for (simulated_instance& each : instances_)
         {
             restart(each);
@@ -108,142 +80,6 @@
         return std::uniform_int_distribution<std::uint64_t>(0, bound - 1)(random_);
     }
 
-    state_revision next_revision()
-    {
-        return {++store_.revision, era_};
-    }
-
-    // What targets and operators write.
-
-    void write_entry(std::uint64_t key)
-    {
-        running_target& target = targets_[key];
-        target_change change = announcement(key, 0);
-        change.revision = next_revision();
-        change.record->is_draining = target.is_draining;
-        change.record->incarnation = target.incarnation;
-        change.record->sequence = ++target.sequence;
-        store_.entries[key] = change;
-        store_.changes[change.revision.value] = change;
-    }
-
-    void remove_entry(std::uint64_t key)
-    {
-        if (store_.entries.erase(key) > 0)
-        {
-            target_change change = departure(key, 0);
-            change.revision = next_revision();
-            store_.changes[change.revision.value] = change;
-        }
-    }
-
-    void change_target(std::uint64_t key)
-    {
-        running_target& target = targets_[key];
-        if (!target.is_alive)
-        {
-            target = {.is_alive = true, .incarnation = ++starts_};
-            write_entry(key);
-            return;
-        }
-        switch (draw(3))
-        {
-        case 0:
-            target.is_draining = true;
-            write_entry(key);
-            break;
-        case 1:
-            target.is_alive = false;
-            target.heard_at = now_;
-            remove_entry(key);
-            break;
-        default:
-            // It crashes, so its entry stands until it lapses.
-            target.is_alive = false;
-            target.heard_at = now_;
-            break;
-        }
-    }
-
-    void write_configuration()
-    {
-        auto table = std::make_shared<routing_table>(web_table());
-        table->generation = {++generation_};
-        put_configuration(std::move(table));
-    }
-
-    void put_configuration(std::shared_ptr<const routing_table> table)
-    {
-        if (table->generation >= generation{generation_})
-        {
-            newest_table_ = table;
-        }
-        const state_revision revision = next_revision();
-        store_.configuration = {.revision = revision,
-                                .written = revision,
-                                .text = std::make_shared<const std::string>("text"),
-                                .table = std::move(table)};
-    }
-
-    void write_evacuation()
-    {
-        const evacuation_change change{.data_centre = north,
-                                       .name = "north",
-                                       .revision = next_revision(),
-                                       .is_withdrawn = !is_evacuated_};
-        store_.evacuation_changes[change.revision.value] = change;
-        store_.evacuation = is_evacuated_ ? std::optional(change) : std::nullopt;
-    }
-
-    /// Each writer finds that the store lacks what it wrote, and writes it again.
-    void write_again()
-    {
-        for (auto& [key, target] : targets_)
-        {
-            const auto found = store_.entries.find(key);
-            if (!target.is_alive)
-            {
-                if (now_ >= target.heard_at + lapse_time)
-                {
-                    remove_entry(key);
-                }
-                continue;
-            }
-            const bool stands = found != store_.entries.end() &&
-                                found->second.record->incarnation == target.incarnation &&
-                                found->second.record->is_draining == target.is_draining;
-            if (!stands)
-            {
-                write_entry(key);
-            }
-        }
-        if (store_.configuration.table->generation < newest_table_->generation)
-        {
-            // The lost ones are written again one after the other.
-            auto next = std::make_shared<routing_table>(web_table());
-            next->generation = {store_.configuration.table->generation.value + 1};
-            put_configuration(std::move(next));
-        }
-        if (store_.evacuation.has_value() != is_evacuated_)
-        {
-            write_evacuation();
-        }
-    }
-
-    void return_from_copy()
-    {
-        ++era_.value;
-        store_ = copies_[draw(copies_.size())];
-        store_.compacted = store_.revision;
-        copies_ = {store_};
-        // Targets that ended in between were last heard by the copy.
-        for (auto& [key, target] : targets_)
-        {
-            target.heard_at = target.is_alive ? target.heard_at : now_;
-        }
-        returned_at_ = now_;
-    }
-
     // How instances hear of it.
 
     void restart(simulated_instance& instance)
@@ -257,59 +93,32 @@
                     .incarnation = incarnation};
     }
 
+    message message_to(std::size_t receiver, state_update update) const
+    {
+        return {.receiver = receiver,
+                .incarnation = instances_[receiver].incarnation,
+                .update = std::move(update)};
+    }
+
     message listing(std::size_t receiver) const
     {
-        const state_revision position{store_.revision, era_};
-        message whole{.receiver = receiver,
-                      .incarnation = instances_[receiver].incarnation,
-                      .update = {.position = position,
-                                 .complete_from = position,
-                                 .is_whole = true}};
-        for (const auto& [key, change] : store_.entries)
-        {
-            whole.update.targets.push_back(change);
-            whole.update.targets.back().revision.era = era_;
-        }
-        if (store_.evacuation)
-        {
-            whole.update.evacuations.push_back(*store_.evacuation);
-            whole.update.evacuations.back().revision.era = era_;
-        }
-        whole.configuration = store_.configuration;
-        whole.configuration->revision.era = era_;
-        whole.configuration->written.era = era_;
+        message whole = message_to(receiver, store_.listing());
+        whole.configuration = store_.listed_configuration();
         return whole;
     }
 
     void read_store(std::size_t reader)
     {
         const state_revision position = instances_[reader].entry.directory.position;
-        if (position.era != era_ || position.value < store_.compacted)
+        if (!store_.can_be_watched_from(position))
         {
             in_flight_.push_back(listing(reader));
             return;
         }
-        message changes{
-            .receiver = reader,
-            .incarnation = instances_[reader].incarnation,
-            .update = {.position = {store_.revision, era_}, .complete_from = position}};
-        for (const auto& [revision, change] : store_.changes)
-        {
-            if (revision > position.value)
-            {
-                changes.update.targets.push_back(change);
-            }
-        }
-        for (const auto& [revision, change] : store_.evacuation_changes)
-        {
-            if (revision > position.value)
-            {
-                changes.update.evacuations.push_back(change);
-            }
-        }
-        if (store_.configuration.revision > position)
+        message changes = message_to(reader, store_.changes_since(position));
+        if (store_.state.configuration.revision > position)
         {
-            changes.configuration = store_.configuration;
+            changes.configuration = store_.state.configuration;
         }
         in_flight_.push_back(std::move(changes));
     }
@@ -355,9 +164,9 @@
             }
         }
         // What was lost is written again soon.
-        if (now_ >= returned_at_ + 1s)
+        if (now_ >= store_.returned_at + 1s)
         {
-            write_again();
+            store_.write_again(now_);
         }
     }
 
@@ -369,14 +178,15 @@
         {
         case 0:
         case 1:
-            change_target(1 + draw(key_count));
+            store_.change_target(1 + draw(key_count), static_cast<target_event>(draw(3)),
+                                 now_);
             break;
         case 2:
-            write_configuration();
+            store_.write_configuration();
             break;
         case 3:
-            is_evacuated_ = !is_evacuated_;
-            write_evacuation();
+            store_.is_evacuated = !store_.is_evacuated;
+            store_.write_evacuation();
             break;
         case 4:
             let_time_pass(std::chrono::milliseconds(draw(2500)));
@@ -415,10 +225,10 @@
             restart(chosen);
             break;
         case 1:
-            return_from_copy();
+            store_.return_from_copy(draw(store_.copies.size()), now_);
             break;
         default:
-            copies_.push_back(store_);
+            store_.copies.push_back(store_.state);
             break;
         }
     }
@@ -481,9 +291,10 @@
         }
         let_time_pass(lapse_time);
         let_time_pass(lapse_time);
-        while (store_.configuration.table->generation < newest_table_->generation)
+        while (store_.state.configuration.table->generation <
+               store_.newest_table->generation)
         {
-            write_again();
+            store_.write_again(now_);
         }
         for (std::size_t i = 0; i < instances_.size(); ++i)
         {
@@ -512,20 +323,20 @@
     void check_settled(std::size_t index)
     {
         const entry_instance& entry = instances_[index].entry;
-        if (entry.configuration.table->generation != newest_table_->generation)
+        if (entry.configuration.table->generation != store_.newest_table->generation)
         {
             fail("the newest configuration is not in force", index, 0);
         }
-        if (is_evacuated(entry.evacuations, north) != is_evacuated_)
+        if (is_evacuated(entry.evacuations, north) != store_.is_evacuated)
         {
             fail("the evacuation differs from the store", index, 0);
         }
         for (std::uint64_t key = 1; key <= key_count; ++key)
         {
-            const auto stored = store_.entries.find(key);
-            const bool is_to_be_used = stored != store_.entries.end() &&
+            const auto stored = store_.state.entries.find(key);
+            const bool is_to_be_used = stored != store_.state.entries.end() &&
                                        !stored->second.record->is_draining &&
-                                       !is_evacuated_;
+                                       !store_.is_evacuated;
             const auto found = entry.directory.by_entry.find(key);
             const bool is_used =
                 found != entry.directory.by_entry.end() &&
@@ -542,15 +353,7 @@
     std::uint64_t seed_;
     std::mt19937_64 random_;
     time_point now_{100s};
-    store_era era_{1};
-    stored_state store_;
-    std::vector<stored_state> copies_;
-    time_point returned_at_;
-    std::map<std::uint64_t, running_target> targets_;
-    std::uint64_t starts_ = 0;
-    std::uint64_t generation_ = 0;
-    std::shared_ptr<const routing_table> newest_table_;
-    bool is_evacuated_ = false;
+    returning_store store_;
     std::vector<simulated_instance> instances_{instance_count};
     std::vector<message> in_flight_;
     std::string failure_;
